--- /dev/null
+++ b/caller/credential.go
@@ -0,0 +1,46 @@
+package caller
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/release"
+)
+
+// identity is the team for which a request runs.
+type identity struct {
+	team bergamotgrade.Team
+	// keyHash is empty on a route that is open to all.
+	keyHash string
+}
+
+// secretOf returns the key that came with the request.
+func secretOf(req *http.Request) string {
+	if secret, ok := strings.CutPrefix(req.Header.Get("Authorization"), "Bearer "); ok {
+		return strings.TrimSpace(secret)
+	}
+	return req.Header.Get("X-Api-Key")
+}
+
+// identify checks the key of this very request against the state in force.
+func identify(state *release.State, req *http.Request) (identity, error) {
+	secret := secretOf(req)
+	if secret == "" || len(secret) > maxKeyBytes {
+		return identity{}, bergamotgrade.NewError(bergamotgrade.KindKeyMissing, "the request carries no key", "send `Authorization: Bearer KEY`").WithNotRun()
+	}
+	hash := bergamotgrade.HashKey(secret)
+	team, ok := teamOf(state, hash)
+	if !ok {
+		return identity{}, bergamotgrade.NewError(bergamotgrade.KindKeyUnknown, "the key is not in force", "use a key that your operator has given and not withdrawn").WithNotRun()
+	}
+	return identity{team: team, keyHash: hash}, nil
+}
+
+func teamOf(state *release.State, keyHash string) (bergamotgrade.Team, bool) {
+	key, ok := state.Key(keyHash)
+	if !ok {
+		return bergamotgrade.Team{}, false
+	}
+	return state.Team(key.TeamID)
+}
--- /dev/null
+++ b/caller/server.go
@@ -0,0 +1,232 @@
+// Package caller serves callers over HTTP: the OpenAI-compatible interface and
+// the plain services.
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/kataras/iris/v12"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/dispatch"
+	"github.com/bergamotgrade/bergamotgrade/idempotency"
+	"github.com/bergamotgrade/bergamotgrade/release"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
+)
+
+// StateSource gives the configuration in force on this VM.
+type StateSource interface {
+	// State returns the newest state; it is never nil.
+	State() *release.State
+	// Fresh returns nil, or the error for callers while this VM must not trust
+	// its state.
+	Fresh() error
+}
+
+// Config sets the bounds towards callers.
+type Config struct {
+	// MaxBodyBytes bounds a request body.
+	MaxBodyBytes int64
+	// MaxConnections bounds the open connections.
+	MaxConnections int
+	// RequestTimeout is the time of a request that names no deadline.
+	RequestTimeout time.Duration
+}
+
+// Dependencies are what a Server works with.
+type Dependencies struct {
+	Clock   bergamotgrade.Clock
+	Source  StateSource
+	Limiter bergamotgrade.Limiter
+	Fleet   *dispatch.Fleet
+	Records *idempotency.Store
+	Ring    *timeline.Ring
+	Metrics *expvar.Map
+}
+
+// Server answers callers.
+type Server struct {
+	config   Config
+	deps     Dependencies
+	requests *inFlight
+	handler  http.Handler
+
+	connections atomic.Int64
+	draining    atomic.Bool
+	lastAccept  atomic.Int64
+}
+
+// New returns a server; its routes are ready to serve.
+func New(config Config, deps Dependencies) (*Server, error) {
+	s := &Server{config: config, deps: deps, requests: newInFlight()}
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal, iris.WithoutInterruptHandler)
+	app.Get("/v1/models", s.serve(s.listModels))
+	app.Get("/v1/models/{id:path}", s.serve(s.showModel))
+	app.Post("/v1/chat/completions", s.serve(s.complete))
+	app.Post("/v1/completions", s.serve(s.complete))
+	app.Any("/v1/services/{name}", s.serve(s.callService))
+	app.Any("/v1/services/{name}/{path:path}", s.serve(s.callService))
+	app.OnAnyErrorCode(s.serve(s.unknownRoute))
+	if err := app.Build(); err != nil {
+		return nil, err
+	}
+	s.handler = app
+	return s, nil
+}
+
+// exchange is one request with its answer.
+type exchange struct {
+	w         http.ResponseWriter
+	req       *http.Request
+	params    func(string) string
+	requestID string
+	// cancel ends the request with a cause.
+	cancel context.CancelCauseFunc
+}
+
+// serve wraps a handler with identity, drain notice and error answers.
+func (s *Server) serve(handle func(*exchange) error) iris.Handler {
+	return func(ctx iris.Context) {
+		x := &exchange{w: ctx.ResponseWriter().Naive(), req: ctx.Request(), params: ctx.Params().Get, requestID: uuid.NewString()}
+		var reqCtx context.Context
+		reqCtx, x.cancel = context.WithCancelCause(x.req.Context())
+		defer x.cancel(nil)
+		x.req = x.req.WithContext(reqCtx)
+		x.w.Header().Set(headerRequestID, x.requestID)
+		if s.draining.Load() {
+			x.w.Header().Set("Connection", "close")
+		}
+		ctx.StopExecution()
+		// The answer goes past iris's buffer; this keeps iris from adding one.
+		ctx.ResponseWriter().SetWritten(0)
+		s.run(x, handle)
+	}
+}
+
+// run calls the handler and answers with its error.
+func (s *Server) run(x *exchange, handle func(*exchange) error) {
+	s.deps.Metrics.Add("requests", 1)
+	err := s.admitConnection()
+	if err == nil {
+		err = handle(x)
+	}
+	if err == nil {
+		return
+	}
+	failure := bergamotgrade.AsError(err)
+	s.deps.Metrics.Add("failed_"+string(failure.Kind()), 1)
+	s.deps.Ring.Record(timeline.KindRefuse, x.requestID, "", string(failure.Kind()))
+	writeError(x.w, failure, x.requestID, s.deps.Clock.Now())
+}
+
+func (s *Server) admitConnection() error {
+	if s.connections.Load() <= int64(s.config.MaxConnections) {
+		return nil
+	}
+	return bergamotgrade.NewError(bergamotgrade.KindTooManyConns, "too many connections are open", "keep fewer connections and reuse them").WithNotRun().WithRetryAt(s.deps.Clock.Now().Add(time.Second))
+}
+
+func (s *Server) unknownRoute(*exchange) error {
+	return bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "no such path or method", "use /v1/chat/completions, /v1/completions, /v1/models or /v1/services/{name}/").WithNotRun()
+}
+
+// authorize finds the team of the request's key.
+func (s *Server) authorize(x *exchange) (identity, error) {
+	if err := s.deps.Source.Fresh(); err != nil {
+		return identity{}, err
+	}
+	return identify(s.deps.Source.State(), x.req)
+}
+
+// enter registers the request under its key. A key that was withdrawn since the
+// check ends it at once.
+func (s *Server) enter(x *exchange, who identity) func() {
+	leave := s.requests.add(who, x.cancel)
+	if who.keyHash != "" {
+		if _, ok := teamOf(s.deps.Source.State(), who.keyHash); !ok {
+			x.cancel(withdrawn())
+		}
+	}
+	s.deps.Ring.Record(timeline.KindAccept, x.requestID, who.team.TeamID, x.req.URL.Path)
+	return leave
+}
+
+// readBody reads the whole body within its bounds of size and time.
+func (s *Server) readBody(x *exchange) ([]byte, error) {
+	controller := http.NewResponseController(x.w)
+	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	body, err := io.ReadAll(io.LimitReader(x.req.Body, s.config.MaxBodyBytes+1))
+	_ = controller.SetReadDeadline(time.Time{})
+	if int64(len(body)) > s.config.MaxBodyBytes {
+		x.w.Header().Set("Connection", "close")
+		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the body is larger than this system takes", "send a smaller body").WithNotRun()
+	}
+	if err != nil {
+		x.w.Header().Set("Connection", "close")
+		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTimeout, "the body did not arrive whole in time", "send it again over a better connection").WithNotRun().WithCause(err)
+	}
+	return body, nil
+}
+
+// deadline returns the time by which the answer must be complete.
+func (s *Server) deadline(x *exchange) (time.Time, error) {
+	now := s.deps.Clock.Now()
+	text := x.req.Header.Get(headerDeadline)
+	if text == "" {
+		return now.Add(s.config.RequestTimeout), nil
+	}
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil || at.After(now.Add(maxDeadline)) {
+		return time.Time{}, bergamotgrade.NewError(bergamotgrade.KindInvalidRequest, "X-Deadline is no RFC 3339 time within half an hour", "send a time like 2006-01-02T15:04:05Z").WithNotRun()
+	}
+	if !at.After(now) {
+		return time.Time{}, bergamotgrade.NewError(bergamotgrade.KindDeadlineExceeded, "the deadline had passed on arrival", "allow more time").WithNotRun()
+	}
+	return at, nil
+}
+
+func writeJSON(w http.ResponseWriter, value any) error {
+	w.Header().Set("Content-Type", "application/json")
+	return json.NewEncoder(w).Encode(value)
+}
+
+// EnforceState ends the requests whose keys the state has withdrawn.
+func (s *Server) EnforceState(state *release.State) { s.requests.enforce(state) }
+
+// InFlight returns the number of running requests.
+func (s *Server) InFlight() int { return s.requests.len() }
+
+// HTTPServer returns the net/http server with its bounds.
+func (s *Server) HTTPServer() *http.Server {
+	protocols := new(http.Protocols)
+	protocols.SetHTTP1(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{
+		Handler:           s.handler,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         s.connState,
+		Protocols:         protocols,
+	}
+}
+
+func (s *Server) connState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.connections.Add(1)
+		s.lastAccept.Store(time.Now().UnixNano())
+	case http.StateClosed, http.StateHijacked:
+		s.connections.Add(-1)
+	}
+}
--- /dev/null
+++ b/caller/service.go
@@ -0,0 +1,135 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"net/url"
+	"path"
+	"strings"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/backend"
+	"github.com/bergamotgrade/bergamotgrade/dispatch"
+	"github.com/bergamotgrade/bergamotgrade/queue"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
+)
+
+// credentialParameters are query parameters that may carry a key and never
+// leave the VM.
+var credentialParameters = []string{"key", "api_key", "apikey", "api-key", "access_token", "token", "authorization"}
+
+// callService answers one request to a plain service.
+func (s *Server) callService(x *exchange) error {
+	route, servicePath, err := s.findRoute(x)
+	if err != nil {
+		return err
+	}
+	var who identity
+	if route.Open {
+		err = s.deps.Source.Fresh()
+	} else {
+		who, err = s.authorize(x)
+	}
+	if err != nil {
+		return err
+	}
+	deadline, err := s.deadline(x)
+	if err != nil {
+		return err
+	}
+	body, err := s.readBody(x)
+	if err != nil {
+		return err
+	}
+	if !route.Open {
+		if err := s.deps.Limiter.Admit(x.req.Context(), who.team); err != nil {
+			return err
+		}
+	}
+	leave := s.enter(x, who)
+	defer leave()
+	ask := dispatch.ServiceAsk{
+		RequestID:  x.requestID,
+		Team:       who.team,
+		ServiceID:  x.params("name"),
+		Class:      queue.ClassOnline,
+		Method:     x.req.Method,
+		Path:       withoutCredentials(servicePath, x.req.URL.Query()),
+		Header:     backend.AllowedRequestHeader(x.req.Header),
+		Body:       body,
+		Idempotent: route.Idempotent,
+		Deadline:   deadline,
+	}
+	answer, err := s.callOnce(x, who, ask)
+	if err != nil {
+		return err
+	}
+	s.deps.Ring.Record(timeline.KindComplete, x.requestID, who.team.TeamID, "")
+	writeAnswer(x.w, answer)
+	return nil
+}
+
+// callOnce dispatches the call, or finds the record of an earlier one with the
+// same Idempotency-Key.
+func (s *Server) callOnce(x *exchange, who identity, ask dispatch.ServiceAsk) (bergamotgrade.ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(x.req.Context(), ask.Deadline)
+	defer cancel()
+	if !ask.Idempotent {
+		// The call may not be repeated, so it is finished even if the caller
+		// leaves or its key is withdrawn: its outcome has to be known.
+		ctx, cancel = context.WithDeadline(context.WithoutCancel(ctx), ask.Deadline)
+		defer cancel()
+		if err := context.Cause(x.req.Context()); err != nil {
+			return bergamotgrade.ServiceAnswer{}, bergamotgrade.AsError(err).WithNotRun()
+		}
+	}
+	key := x.req.Header.Get(headerIdempotencyKey)
+	if key == "" || who.keyHash == "" {
+		return s.deps.Fleet.Call(ctx, ask)
+	}
+	if len(key) > maxIdempotencyKeyBytes {
+		return bergamotgrade.ServiceAnswer{}, invalid("the Idempotency-Key is too long", "send at most 255 bytes")
+	}
+	return s.deps.Records.Do(ctx, who.team.TeamID, key, ask, s.deps.Fleet.Call)
+}
+
+func (s *Server) findRoute(x *exchange) (bergamotgrade.Route, string, error) {
+	name := x.params("name")
+	service, ok := s.deps.Source.State().Service(name)
+	if !ok {
+		return bergamotgrade.Route{}, "", bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "service \""+name+"\" does not exist", "ask your operator for the names of the services").WithNotRun()
+	}
+	servicePath := path.Clean("/" + x.params("path"))
+	for _, route := range service.Routes {
+		if route.Method == x.req.Method && underPrefix(servicePath, route.PathPrefix) {
+			return route, servicePath, nil
+		}
+	}
+	return bergamotgrade.Route{}, "", bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "the service has no route for this method and path", "ask your operator for the routes of the service").WithNotRun()
+}
+
+// underPrefix reports whether the path is the prefix or lies below it.
+func underPrefix(servicePath, prefix string) bool {
+	prefix = strings.TrimSuffix(prefix, "/")
+	return servicePath == prefix || strings.HasPrefix(servicePath, prefix+"/")
+}
+
+func withoutCredentials(servicePath string, query url.Values) string {
+	for name := range query {
+		for _, credential := range credentialParameters {
+			if strings.EqualFold(name, credential) {
+				query.Del(name)
+			}
+		}
+	}
+	target := url.URL{Path: servicePath, RawQuery: query.Encode()}
+	return target.RequestURI()
+}
+
+func writeAnswer(w http.ResponseWriter, answer bergamotgrade.ServiceAnswer) {
+	for name, values := range answer.Header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(answer.Body)
+}
--- /dev/null
+++ b/cmd/bergamotd/main.go
@@ -0,0 +1,17 @@
+// Command bergamotd is the daemon of one VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/bergamotgrade/bergamotgrade/daemon"
+)
+
+func main() {
+	if err := daemon.Main(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "bergamotd:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/daemon/demo.go
@@ -0,0 +1,141 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/release"
+	"github.com/bergamotgrade/bergamotgrade/standin"
+)
+
+const (
+	demoCallerAddress   = "127.0.0.1:8080"
+	demoOperatorAddress = "127.0.0.1:8081"
+	demoKey             = "demo-key"
+	demoEngines         = 2
+)
+
+// demo is one VM with stand-ins for everything around it, in one process.
+type demo struct {
+	group   *errgroup.Group
+	ctx     context.Context
+	servers []*http.Server
+}
+
+func newDemoCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:   "demo",
+		Short: "Serve callers on 127.0.0.1:8080 with stand-ins for engines, services and platform",
+		Args:  cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+			defer stop()
+			return runDemo(ctx, command)
+		},
+	}
+}
+
+func runDemo(ctx context.Context, command *cobra.Command) error {
+	d := &demo{}
+	d.group, d.ctx = errgroup.WithContext(ctx)
+	keyValue := standin.NewKeyValue()
+	platformAddress, err := d.serve(standin.NewPlatformServer(keyValue))
+	if err != nil {
+		return err
+	}
+	note := release.Note{NoteID: "demo", Set: release.Records{
+		Teams: []bergamotgrade.Team{{TeamID: "demo", Rate: 100, Burst: 200}},
+		Keys:  []bergamotgrade.Key{{KeyHash: bergamotgrade.HashKey(demoKey), TeamID: "demo"}},
+	}}
+	if err := d.addBackends(&note.Set); err != nil {
+		return err
+	}
+	if _, err := release.NewStore(keyValue).Submit(ctx, note); err != nil {
+		return err
+	}
+	vm, err := New(demoSettings(platformAddress))
+	if err != nil {
+		return err
+	}
+	d.group.Go(func() error { return vm.Run(d.ctx) })
+	fmt.Fprintf(command.OutOrStdout(), "Serving callers on http://%s and operators on http://%s. Try:\n\n"+
+		"curl -N http://%s/v1/chat/completions -H 'Authorization: Bearer %s' -H 'Content-Type: application/json' -d '{\"model\":\"note-writer\",\"stream\":true,\"messages\":[{\"role\":\"user\",\"content\":\"Vial 7 reads 0.4 mm/m: shim or reject?\"}]}'\n\n",
+		demoCallerAddress, demoOperatorAddress, demoCallerAddress, demoKey)
+	<-d.ctx.Done()
+	for _, server := range d.servers {
+		_ = server.Close()
+	}
+	return d.group.Wait()
+}
+
+// addBackends starts the engines and the plain service and records them.
+func (d *demo) addBackends(set *release.Records) error {
+	var engineIDs []string
+	for i := range demoEngines {
+		engine := standin.NewEngine(standin.EngineConfig{Slots: 8, TokenTime: 30 * time.Millisecond, PrefillBlockTime: time.Millisecond, CacheBlocks: 4096, ReportLag: 200 * time.Millisecond})
+		d.group.Go(func() error { engine.Run(d.ctx); return nil })
+		address, err := d.serve(engine)
+		if err != nil {
+			return err
+		}
+		id := fmt.Sprintf("engine%d", i+1)
+		engineIDs = append(engineIDs, id)
+		set.BackendServers = append(set.BackendServers, bergamotgrade.BackendServer{BackendServerID: id, Address: address, Slots: 8})
+	}
+	address, err := d.serve(standin.NewService())
+	if err != nil {
+		return err
+	}
+	set.BackendServers = append(set.BackendServers, bergamotgrade.BackendServer{BackendServerID: "echo1", Address: address, Slots: 32})
+	set.Models = []bergamotgrade.Model{{ModelID: "note-writer", BackendServerIDs: engineIDs}}
+	set.Services = []bergamotgrade.Service{{ServiceID: "echo", BackendServerIDs: []string{"echo1"}, Routes: []bergamotgrade.Route{
+		{Method: http.MethodGet, PathPrefix: "/", Idempotent: true},
+		{Method: http.MethodPost, PathPrefix: "/"},
+	}}}
+	return nil
+}
+
+// serve starts a stand-in on a free loopback port.
+func (d *demo) serve(handler http.Handler) (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	d.servers = append(d.servers, server)
+	d.group.Go(func() error { return closed(server.Serve(listener)) })
+	return listener.Addr().String(), nil
+}
+
+func demoSettings(platformAddress string) Settings {
+	return Settings{
+		VMID:            "demo",
+		DataCentre:      "demo",
+		CallerAddress:   demoCallerAddress,
+		OperatorAddress: demoOperatorAddress,
+		InnerAddress:    "127.0.0.1:0",
+		PlatformAddress: platformAddress,
+		InnerSecret:     "demo-secret-demo-secret",
+		PlatformRate:    50,
+		MaxBodyBytes:    4 << 20,
+		MaxConnections:  1000,
+		RequestTimeout:  2 * time.Minute,
+		FirstToken:      15 * time.Second,
+		TokenGap:        5 * time.Second,
+		DrainQuiet:      100 * time.Millisecond,
+		DrainTimeout:    time.Minute,
+		LeaseTerm:       10 * time.Second,
+		RoutePolicy:     "locality",
+		RateMode:        RateModePledge,
+		SlotCount:       1,
+	}
+}
--- /dev/null
+++ b/daemon/settings.go
@@ -0,0 +1,155 @@
+package daemon
+
+import (
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/spf13/pflag"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/route"
+)
+
+// Settings are the flags of one VM. Each can also be given by an environment
+// variable: BERGAMOT_ and the flag's name in capitals with underscores.
+type Settings struct {
+	VMID             string
+	DataCentre       string
+	CallerAddress    string
+	OperatorAddress  string
+	InnerAddress     string
+	PlatformAddress  string
+	InnerSecret      string
+	PlatformRate     float64
+	MaxBodyBytes     int64
+	MaxConnections   int
+	RequestTimeout   time.Duration
+	FirstToken       time.Duration
+	TokenGap         time.Duration
+	DrainNotice      time.Duration
+	DrainQuiet       time.Duration
+	DrainTimeout     time.Duration
+	LeaseTerm        time.Duration
+	RoutePolicy      string
+	RateMode         string
+	SlotCount        int
+	AdvertiseInner   string
+	AdvertiseOperate string
+}
+
+// environmentPrefix begins the name of every environment variable.
+const environmentPrefix = "BERGAMOT_"
+
+// Register adds the flags with their defaults to the set.
+func (s *Settings) Register(flags *pflag.FlagSet) {
+	flags.StringVar(&s.VMID, "vm-id", "", "unique `name` of this VM")
+	flags.StringVar(&s.DataCentre, "data-centre", "", "`name` of the data centre that this VM stands in")
+	flags.StringVar(&s.CallerAddress, "caller-address", "127.0.0.1:8080", "`host:port` for callers")
+	flags.StringVar(&s.OperatorAddress, "operator-address", "127.0.0.1:8081", "`host:port` for operators; keep it away from callers")
+	flags.StringVar(&s.InnerAddress, "inner-address", "127.0.0.1:8082", "`host:port` for other VMs")
+	flags.StringVar(&s.AdvertiseInner, "advertise-inner-address", "", "`host:port` at which other VMs reach this one, if not the inner address")
+	flags.StringVar(&s.AdvertiseOperate, "advertise-operator-address", "", "`host:port` at which operators reach this VM, if not the operator address")
+	flags.StringVar(&s.PlatformAddress, "platform-address", "", "`host:port` of the platform's key-value service")
+	flags.StringVar(&s.InnerSecret, "inner-secret", "", "`secret` that all VMs share, at least 16 bytes; better given by environment")
+	flags.Float64Var(&s.PlatformRate, "platform-rate", 20, "platform `calls` a second besides lease calls")
+	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body in `bytes`")
+	flags.IntVar(&s.MaxConnections, "max-connections", 10000, "largest `number` of connections from callers")
+	flags.DurationVar(&s.RequestTimeout, "request-timeout", 2*time.Minute, "`time` for a request that names no deadline")
+	flags.DurationVar(&s.FirstToken, "first-token-timeout", 15*time.Second, "longest `time` to the first token of an attempt")
+	flags.DurationVar(&s.TokenGap, "token-gap-timeout", 5*time.Second, "longest `time` between two tokens of an attempt")
+	flags.DurationVar(&s.DrainNotice, "drain-notice", 10*time.Second, "`time` for which a stopping VM goes on accepting")
+	flags.DurationVar(&s.DrainQuiet, "drain-quiet", time.Second, "`time` without a new connection that ends accepting")
+	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` for finishing requests on a stop")
+	flags.DurationVar(&s.LeaseTerm, "lease-term", 10*time.Second, "`term` of this VM's platform lease")
+	flags.StringVar(&s.RoutePolicy, "route-policy", string(route.PolicyLocality), "routing `policy`: locality, power_of_two, round_robin or least_in_flight")
+	flags.StringVar(&s.RateMode, "rate-mode", RateModePledge, "rate sharing `mode`: pledge, lending or static")
+	flags.IntVar(&s.SlotCount, "slot-count", 16, "`number` of standing shares of each rate; the same on all VMs, at least the number of VMs")
+}
+
+// ApplyEnvironment sets each flag that the command line left out from its
+// environment variable.
+func ApplyEnvironment(flags *pflag.FlagSet, lookup func(string) (string, bool)) []string {
+	var faults []string
+	flags.VisitAll(func(flag *pflag.Flag) {
+		if flag.Changed {
+			return
+		}
+		name := environmentPrefix + strings.ToUpper(strings.ReplaceAll(flag.Name, "-", "_"))
+		value, ok := lookup(name)
+		if !ok {
+			return
+		}
+		if err := flags.Set(flag.Name, value); err != nil {
+			faults = append(faults, fmt.Sprintf("%s (flag --%s): %v; correct the variable", name, flag.Name, err))
+		}
+	})
+	return faults
+}
+
+// The rate modes; pledge is the product's, the others are baselines.
+const (
+	RateModePledge  = "pledge"
+	RateModeLending = "lending"
+	RateModeStatic  = "static"
+)
+
+// Check returns one error that lists every fault, each with its flag and its
+// remedy.
+func (s *Settings) Check(faults []string) error {
+	add := func(bad bool, flag, problem, remedy string) {
+		if bad {
+			faults = append(faults, fmt.Sprintf("--%s: %s; %s", flag, problem, remedy))
+		}
+	}
+	address := func(flag, value string) {
+		_, _, err := net.SplitHostPort(value)
+		add(err != nil, flag, "not host:port", "give an IP number and a port")
+	}
+	add(s.VMID == "" || strings.ContainsAny(s.VMID, "/ "), "vm-id", "missing or holding a slash or space", "give each VM its own name")
+	add(s.DataCentre == "", "data-centre", "missing", "name the data centre of this VM")
+	address("caller-address", s.CallerAddress)
+	address("operator-address", s.OperatorAddress)
+	address("inner-address", s.InnerAddress)
+	address("platform-address", s.PlatformAddress)
+	add(len(s.InnerSecret) < 16, "inner-secret", "shorter than 16 bytes", "give all VMs the same long random secret")
+	add(s.PlatformRate <= 0, "platform-rate", "not above zero", "give this VM's part of the platform's call budget")
+	add(s.MaxBodyBytes < 1024, "max-body-bytes", "below 1024", "give a larger bound")
+	add(s.MaxConnections < 1, "max-connections", "below 1", "give a larger bound")
+	add(s.LeaseTerm < time.Second, "lease-term", "below one second", "give at least 1s")
+	add(s.SlotCount < 1, "slot-count", "below 1", "give at least the number of VMs")
+	add(s.RateMode != RateModePledge && s.RateMode != RateModeLending && s.RateMode != RateModeStatic, "rate-mode", "unknown", "choose pledge, lending or static")
+	add(!knownPolicy(s.RoutePolicy), "route-policy", "unknown", "choose locality, power_of_two, round_robin or least_in_flight")
+	s.checkTimes(add)
+	if len(faults) == 0 {
+		return nil
+	}
+	return bergamotgrade.NewError(bergamotgrade.KindInvalidRequest, fmt.Sprintf("%d settings are wrong:\n  %s", len(faults), strings.Join(faults, "\n  ")), "correct all of them and start again")
+}
+
+func (s *Settings) checkTimes(add func(bad bool, flag, problem, remedy string)) {
+	times := []struct {
+		flag  string
+		value time.Duration
+	}{
+		{"request-timeout", s.RequestTimeout},
+		{"first-token-timeout", s.FirstToken},
+		{"token-gap-timeout", s.TokenGap},
+		{"drain-quiet", s.DrainQuiet},
+		{"drain-timeout", s.DrainTimeout},
+	}
+	for _, t := range times {
+		add(t.value <= 0, t.flag, "not above zero", "give a time like 10s")
+	}
+	add(s.DrainNotice < 0, "drain-notice", "below zero", "give a time like 10s")
+}
+
+func knownPolicy(name string) bool {
+	for _, policy := range route.Policies() {
+		if string(policy) == name {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/errors.go
@@ -0,0 +1,152 @@
+package bergamotgrade
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrorKind names one class of failure; callers and operators match on it.
+type ErrorKind string
+
+// The error kinds of the system.
+const (
+	KindInvalidRequest    ErrorKind = "invalid_request"
+	KindRequestTooLarge   ErrorKind = "request_too_large"
+	KindRequestTimeout    ErrorKind = "request_timeout"
+	KindKeyMissing        ErrorKind = "key_missing"
+	KindKeyUnknown        ErrorKind = "key_unknown"
+	KindKeyWithdrawn      ErrorKind = "key_withdrawn"
+	KindRouteUnknown      ErrorKind = "route_unknown"
+	KindModelUnknown      ErrorKind = "model_unknown"
+	KindRateExceeded      ErrorKind = "rate_exceeded"
+	KindOverloaded        ErrorKind = "overloaded"
+	KindDeadlineExceeded  ErrorKind = "deadline_exceeded"
+	KindNoBackendServer   ErrorKind = "no_backend_server"
+	KindBackendFailed     ErrorKind = "backend_failed"
+	KindOutcomeUnknown    ErrorKind = "outcome_unknown"
+	KindRequestInProgress ErrorKind = "request_in_progress"
+	KindKeyReused         ErrorKind = "idempotency_key_reused"
+	KindConflict          ErrorKind = "conflict"
+	KindPlatformDown      ErrorKind = "platform_unavailable"
+	KindNoteInvalid       ErrorKind = "note_invalid"
+	KindNotReady          ErrorKind = "not_ready"
+	KindTooManyConns      ErrorKind = "too_many_connections"
+	KindInternal          ErrorKind = "internal"
+)
+
+// kindStatus maps each kind to the HTTP status that callers see.
+var kindStatus = map[ErrorKind]int{
+	KindInvalidRequest:    http.StatusBadRequest,
+	KindRequestTooLarge:   http.StatusRequestEntityTooLarge,
+	KindRequestTimeout:    http.StatusRequestTimeout,
+	KindKeyMissing:        http.StatusUnauthorized,
+	KindKeyUnknown:        http.StatusUnauthorized,
+	KindKeyWithdrawn:      http.StatusUnauthorized,
+	KindRouteUnknown:      http.StatusNotFound,
+	KindModelUnknown:      http.StatusNotFound,
+	KindRateExceeded:      http.StatusTooManyRequests,
+	KindOverloaded:        http.StatusServiceUnavailable,
+	KindDeadlineExceeded:  http.StatusGatewayTimeout,
+	KindNoBackendServer:   http.StatusServiceUnavailable,
+	KindBackendFailed:     http.StatusBadGateway,
+	KindOutcomeUnknown:    http.StatusBadGateway,
+	KindRequestInProgress: http.StatusConflict,
+	KindKeyReused:         http.StatusUnprocessableEntity,
+	KindConflict:          http.StatusConflict,
+	KindPlatformDown:      http.StatusServiceUnavailable,
+	KindNoteInvalid:       http.StatusUnprocessableEntity,
+	KindNotReady:          http.StatusServiceUnavailable,
+	KindTooManyConns:      http.StatusServiceUnavailable,
+	KindInternal:          http.StatusInternalServerError,
+}
+
+// Error is a failure with a kind, a remedy for whoever reads it, and the truth
+// about whether the request may have run.
+type Error struct {
+	kind    ErrorKind
+	message string
+	remedy  string
+	notRun  bool
+	retryAt time.Time
+	cause   error
+}
+
+// NewError returns an error of the kind whose text is the message followed by
+// the remedy.
+func NewError(kind ErrorKind, message, remedy string) *Error {
+	return &Error{kind: kind, message: message, remedy: remedy}
+}
+
+// WithNotRun returns a copy that states that the request was never dispatched.
+func (e *Error) WithNotRun() *Error {
+	next := *e
+	next.notRun = true
+	return &next
+}
+
+// WithRetryAt returns a copy that names the earliest time for another try.
+func (e *Error) WithRetryAt(at time.Time) *Error {
+	next := *e
+	next.retryAt = at
+	return &next
+}
+
+// WithCause returns a copy that wraps the cause.
+func (e *Error) WithCause(cause error) *Error {
+	next := *e
+	next.cause = cause
+	return &next
+}
+
+// Kind returns the class of the failure.
+func (e *Error) Kind() ErrorKind { return e.kind }
+
+// Message returns what failed, without the remedy.
+func (e *Error) Message() string { return e.message }
+
+// Remedy returns what the reader can do about it.
+func (e *Error) Remedy() string { return e.remedy }
+
+// NotRun reports whether the request is known never to have been dispatched.
+func (e *Error) NotRun() bool { return e.notRun }
+
+// RetryAt returns the earliest time for another try; zero means none is named.
+func (e *Error) RetryAt() time.Time { return e.retryAt }
+
+// Status returns the HTTP status that stands for the kind.
+func (e *Error) Status() int {
+	if status, ok := kindStatus[e.kind]; ok {
+		return status
+	}
+	return http.StatusInternalServerError
+}
+
+// Error returns the message, the remedy and the cause.
+func (e *Error) Error() string {
+	text := fmt.Sprintf("%s; %s", e.message, e.remedy)
+	if e.cause != nil {
+		text += ": " + e.cause.Error()
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.cause }
+
+// AsError finds the first Error in the chain of err, or wraps err as internal.
+func AsError(err error) *Error {
+	var found *Error
+	if errors.As(err, &found) {
+		return found
+	}
+	return NewError(KindInternal, "internal error", "report it with the request id").WithCause(err)
+}
+
+// IsKind reports whether the chain of err holds an Error of the kind.
+func IsKind(err error, kind ErrorKind) bool {
+	var found *Error
+	return errors.As(err, &found) && found.kind == kind
+}
--- /dev/null
+++ b/integration/harness_test.go
@@ -0,0 +1,274 @@
+package integration
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/daemon"
+	"github.com/bergamotgrade/bergamotgrade/release"
+	"github.com/bergamotgrade/bergamotgrade/standin"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){
+		"bergamotd": func() {
+			if err := daemon.Main(context.Background()); err != nil {
+				fmt.Fprintln(os.Stderr, "bergamotd:", err)
+				os.Exit(1)
+			}
+		},
+		"standin": func() {
+			if err := standin.NewCommand().ExecuteContext(context.Background()); err != nil {
+				os.Exit(1)
+			}
+		},
+	})
+}
+
+// testSecret is the inner secret of every fleet under test.
+const testSecret = "integration-test-secret"
+
+// fleet is one system of real processes with a fault-injecting proxy on each
+// link.
+type fleet struct {
+	ts        *testscript.TestScript
+	processes map[string]*process
+	proxies   map[string]*standin.FaultProxy
+	// direct holds the address of each process behind its proxies.
+	direct map[string]string
+	jobs   map[string]*job
+}
+
+type process struct {
+	command *exec.Cmd
+	args    []string
+	log     *os.File
+	done    chan struct{}
+}
+
+func fleetOf(ts *testscript.TestScript) *fleet {
+	return ts.Value(fleetKey{}).(*fleet)
+}
+
+type fleetKey struct{}
+
+// start runs a process and remembers it under the name.
+func (f *fleet) start(name string, stdout io.Writer, args ...string) {
+	path, err := exec.LookPath(args[0])
+	f.ts.Check(err)
+	log, err := os.OpenFile(f.ts.MkAbs(name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	f.ts.Check(err)
+	command := exec.Command(path, args[1:]...)
+	command.Env = append(os.Environ(), "BERGAMOT_INNER_SECRET="+testSecret)
+	command.Stderr = log
+	command.Stdout = stdout
+	f.ts.Check(command.Start())
+	p := &process{command: command, args: args, log: log, done: make(chan struct{})}
+	f.processes[name] = p
+	go p.run()
+}
+
+// run waits for the end of the process.
+func (p *process) run() {
+	_ = p.command.Wait()
+	close(p.done)
+	_ = p.log.Close()
+}
+
+// startStandin runs a stand-in and returns the address that it prints.
+func (f *fleet) startStandin(name string, args ...string) string {
+	reader, writer, err := os.Pipe()
+	f.ts.Check(err)
+	f.start(name, writer, append([]string{"standin"}, args...)...)
+	_ = writer.Close()
+	line, err := bufio.NewReader(reader).ReadString('\n')
+	f.ts.Check(err)
+	f.direct[name] = strings.TrimSpace(line)
+	return f.direct[name]
+}
+
+// proxy puts a fault-injecting proxy in front of the address.
+func (f *fleet) proxy(name, target string) string {
+	p, err := standin.NewFaultProxy(target)
+	f.ts.Check(err)
+	f.proxies[name] = p
+	go p.Run()
+	return p.Address()
+}
+
+func (f *fleet) close() {
+	for _, p := range f.proxies {
+		p.Close()
+	}
+	for _, p := range f.processes {
+		_ = p.command.Process.Kill()
+		<-p.done
+	}
+}
+
+// freePort returns a loopback address that was free a moment ago.
+func freePort(ts *testscript.TestScript) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	ts.Check(err)
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// shape is the size of a fleet, read from key=value arguments.
+type shape struct {
+	vms, engines, services, dataCentres int
+	rate, burst                         float64
+	engineFlags, vmFlags                []string
+}
+
+func parseShape(ts *testscript.TestScript, args []string) shape {
+	s := shape{vms: 3, engines: 2, services: 1, dataCentres: 3, rate: 1000, burst: 1000}
+	for _, arg := range args {
+		name, value, _ := strings.Cut(arg, "=")
+		var err error
+		switch name {
+		case "vms":
+			_, err = fmt.Sscan(value, &s.vms)
+		case "engines":
+			_, err = fmt.Sscan(value, &s.engines)
+		case "services":
+			_, err = fmt.Sscan(value, &s.services)
+		case "rate":
+			_, err = fmt.Sscan(value, &s.rate)
+		case "burst":
+			_, err = fmt.Sscan(value, &s.burst)
+		case "engine-flags":
+			s.engineFlags = strings.Fields(value)
+		case "vm-flags":
+			s.vmFlags = strings.Fields(value)
+		default:
+			ts.Fatalf("unknown fleet argument %q", arg)
+		}
+		ts.Check(err)
+	}
+	return s
+}
+
+// cmdFleet starts a fleet and waits until every VM is ready.
+func cmdFleet(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	s := parseShape(ts, args)
+	f.startStandin("platform", "platform")
+	note := baseNote(f, s)
+	address := f.proxy("platform", f.direct["platform"])
+	for i := 1; i <= s.vms; i++ {
+		f.startVM(i, s, address)
+	}
+	f.waitReachable("vm1")
+	f.submit(note)
+	for i := 1; i <= s.vms; i++ {
+		f.waitReady(fmt.Sprintf("vm%d", i))
+	}
+}
+
+// baseNote starts the backend servers and returns the note that names them.
+func baseNote(f *fleet, s shape) release.Note {
+	note := release.Note{NoteID: "base", Set: release.Records{
+		Teams: []bergamotgrade.Team{{TeamID: "trust", Rate: s.rate, Burst: s.burst}, {TeamID: "authority", Rate: s.rate, Burst: s.burst}},
+		Keys:  []bergamotgrade.Key{{KeyHash: bergamotgrade.HashKey("trust-key"), TeamID: "trust"}, {KeyHash: bergamotgrade.HashKey("authority-key"), TeamID: "authority"}},
+	}}
+	var engines, services []string
+	for i := 1; i <= s.engines; i++ {
+		id := fmt.Sprintf("engine%d", i)
+		address := f.startStandin(id, append([]string{"engine", "--token-time=5ms", "--slots=8", "--report-lag=50ms"}, s.engineFlags...)...)
+		engines = append(engines, id)
+		note.Set.BackendServers = append(note.Set.BackendServers, bergamotgrade.BackendServer{BackendServerID: id, Address: f.proxy(id, address), Slots: 8})
+	}
+	for i := 1; i <= s.services; i++ {
+		id := fmt.Sprintf("service%d", i)
+		address := f.startStandin(id, "service")
+		services = append(services, id)
+		note.Set.BackendServers = append(note.Set.BackendServers, bergamotgrade.BackendServer{BackendServerID: id, Address: f.proxy(id, address), Slots: 16})
+	}
+	note.Set.Models = []bergamotgrade.Model{{ModelID: "note-writer", BackendServerIDs: engines}}
+	note.Set.Services = []bergamotgrade.Service{{ServiceID: "manifests", BackendServerIDs: services, Routes: []bergamotgrade.Route{
+		{Method: http.MethodGet, PathPrefix: "/status", Idempotent: true, Open: true},
+		{Method: http.MethodGet, PathPrefix: "/", Idempotent: true},
+		{Method: http.MethodPut, PathPrefix: "/", Idempotent: true},
+		{Method: http.MethodPost, PathPrefix: "/"},
+	}}}
+	return note
+}
+
+func (f *fleet) startVM(number int, s shape, platformAddress string) {
+	name := fmt.Sprintf("vm%d", number)
+	caller, operator, inner := freePort(f.ts), freePort(f.ts), freePort(f.ts)
+	f.direct[name] = caller
+	f.direct[name+"-operator"] = operator
+	f.proxy(name, caller)
+	args := []string{
+		"bergamotd", "serve", "--vm-id", name, "--data-centre", fmt.Sprintf("dc%d", (number-1)%s.dataCentres+1),
+		"--caller-address", caller, "--operator-address", operator, "--inner-address", inner,
+		"--advertise-inner-address", f.proxy(name+"-inner", inner),
+		"--platform-address", f.proxy(name+"-platform", platformAddress),
+		"--first-token-timeout", "2s", "--token-gap-timeout", "700ms", "--drain-notice", "300ms", "--drain-quiet", "200ms", "--lease-term", "3s",
+	}
+	f.start(name, io.Discard, append(args, s.vmFlags...)...)
+}
+
+func (f *fleet) operatorURL(vm, path string) string {
+	return "http://" + f.direct[vm+"-operator"] + path
+}
+
+// poll calls try until it succeeds or 20 seconds have passed.
+func (f *fleet) poll(what string, try func() bool) {
+	deadline := time.Now().Add(20 * time.Second)
+	for !try() {
+		if time.Now().After(deadline) {
+			f.ts.Fatalf("gave up waiting: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func (f *fleet) waitReachable(vm string) {
+	f.poll(vm+" serves operators", func() bool {
+		res, err := http.Get(f.operatorURL(vm, "/healthz"))
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return true
+	})
+}
+
+func (f *fleet) waitReady(vm string) {
+	f.poll(vm+" is ready", func() bool {
+		res, err := http.Get(f.operatorURL(vm, "/readyz"))
+		if err != nil {
+			return false
+		}
+		_ = res.Body.Close()
+		return res.StatusCode == http.StatusOK
+	})
+}
+
+func (f *fleet) submit(note release.Note) {
+	body, err := json.Marshal(note)
+	f.ts.Check(err)
+	res, err := http.Post(f.operatorURL("vm1", "/notes"), "application/json", strings.NewReader(string(body)))
+	f.ts.Check(err)
+	defer res.Body.Close()
+	answer, _ := io.ReadAll(res.Body)
+	if res.StatusCode != http.StatusOK {
+		f.ts.Fatalf("note refused: %s", answer)
+	}
+}
--- /dev/null
+++ b/route/pool.go
@@ -0,0 +1,277 @@
+// Package route decides which backend server gets a request. It is pure: the
+// state and the time go in, a decision comes out.
+package route
+
+import (
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// Policy names a way to choose among the servers with room.
+type Policy string
+
+// The policies; the first is the product's, the others are baselines.
+const (
+	PolicyLocality      Policy = "locality"
+	PolicyPowerOfTwo    Policy = "power_of_two"
+	PolicyRoundRobin    Policy = "round_robin"
+	PolicyLeastInFlight Policy = "least_in_flight"
+)
+
+// Policies returns all policies.
+func Policies() []Policy {
+	return []Policy{PolicyLocality, PolicyPowerOfTwo, PolicyRoundRobin, PolicyLeastInFlight}
+}
+
+// Pool chooses among the backend servers of one model or service. It is not
+// safe for concurrent use.
+type Pool struct {
+	policy  Policy
+	random  *rand.Rand
+	servers map[string]*server
+	order   []string
+	turn    int
+	// vms is the number of VMs that share the servers.
+	vms int
+}
+
+// NewPool returns an empty pool; random breaks ties and draws samples.
+func NewPool(policy Policy, random *rand.Rand) *Pool {
+	return &Pool{policy: policy, random: random, servers: map[string]*server{}, vms: 1}
+}
+
+// SetVMs sets the number of VMs that share the servers.
+func (p *Pool) SetVMs(vms int) { p.vms = max(1, vms) }
+
+// SetServers replaces the records. Known servers keep their history; a server
+// that is gone stays until its requests have finished, but gets no new ones.
+func (p *Pool) SetServers(now time.Time, records []bergamotgrade.BackendServer) {
+	first := len(p.servers) == 0
+	listed := map[string]bool{}
+	for _, record := range records {
+		listed[record.BackendServerID] = true
+		known, ok := p.servers[record.BackendServerID]
+		if !ok {
+			known = &server{warmFrom: now}
+			if first {
+				known.warmFrom = now.Add(-slowStart)
+			}
+			p.servers[record.BackendServerID] = known
+		}
+		known.record = record
+	}
+	for id, known := range p.servers {
+		if listed[id] {
+			continue
+		}
+		known.record.Leaving = true
+		if known.inFlight == 0 {
+			delete(p.servers, id)
+		}
+	}
+	p.order = p.order[:0]
+	for id := range p.servers {
+		p.order = append(p.order, id)
+	}
+	sort.Strings(p.order)
+}
+
+// Servers returns the records of all servers in order of their ids.
+func (p *Pool) Servers() []bergamotgrade.BackendServer {
+	records := make([]bergamotgrade.BackendServer, 0, len(p.order))
+	for _, id := range p.order {
+		records = append(records, p.servers[id].record)
+	}
+	return records
+}
+
+// Request is what a choice depends on.
+type Request struct {
+	// PrefixHash identifies model, adapter and prompt prefix; zero means none.
+	PrefixHash uint64
+	// Avoid lists servers that failed this request before.
+	Avoid map[string]bool
+	// Only limits the choice to some servers of the pool; nil allows all.
+	Only map[string]bool
+}
+
+// Pick returns the server for the request, or false when none has room.
+func (p *Pool) Pick(now time.Time, request Request) (bergamotgrade.BackendServer, bool) {
+	candidates := p.candidates(now, request)
+	if len(candidates) == 0 {
+		return bergamotgrade.BackendServer{}, false
+	}
+	return p.choose(now, request, candidates).record, true
+}
+
+// choose applies the policy to servers that have room.
+func (p *Pool) choose(now time.Time, request Request, candidates []*server) *server {
+	switch p.policy {
+	case PolicyRoundRobin:
+		p.turn++
+		return candidates[p.turn%len(candidates)]
+	case PolicyLeastInFlight:
+		return leastInFlight(candidates)
+	case PolicyLocality:
+		if local := p.local(now, request, candidates); local != nil {
+			return local
+		}
+	}
+	return p.sample(now, candidates)
+}
+
+// candidates returns the servers with room: not leaving, not ejected, not
+// avoided. Ejection and avoidance give way before the pool is empty.
+func (p *Pool) candidates(now time.Time, request Request) []*server {
+	var healthy, fallback []*server
+	sound := 0
+	share := p.share()
+	for _, id := range p.order {
+		s := p.servers[id]
+		if s.record.Leaving || (request.Only != nil && !request.Only[id]) {
+			continue
+		}
+		wanted := !s.ejected(now) && !request.Avoid[id]
+		if wanted {
+			sound++
+		}
+		if !s.hasRoom(now, share) {
+			continue
+		}
+		if wanted {
+			healthy = append(healthy, s)
+		} else {
+			fallback = append(fallback, s)
+		}
+	}
+	if sound > 0 {
+		return healthy
+	}
+	return fallback
+}
+
+// Usable returns the number of servers that are not leaving.
+func (p *Pool) Usable() int {
+	usable := 0
+	for _, s := range p.servers {
+		if !s.record.Leaving {
+			usable++
+		}
+	}
+	return usable
+}
+
+// share is the number of slots of one server that each VM may always use.
+func (p *Pool) share() int {
+	slots := 0
+	for _, s := range p.servers {
+		slots = max(slots, s.record.Slots)
+	}
+	return max(1, slots/p.vms)
+}
+
+// local returns the best-ranked server for the prefix that stays within the
+// load bound, or nil.
+func (p *Pool) local(now time.Time, request Request, candidates []*server) *server {
+	if request.PrefixHash == 0 {
+		return nil
+	}
+	bound := p.meanScore(now) * loadBound
+	ranked := p.ranked(request.PrefixHash, localityRanks)
+	for _, s := range ranked {
+		if !contains(candidates, s) {
+			continue
+		}
+		lightly := s.load(now) < s.record.Slots/4
+		if lightly || s.score(now) <= bound {
+			return s
+		}
+	}
+	return nil
+}
+
+// ranked returns the n servers with the highest rendezvous scores.
+func (p *Pool) ranked(hash uint64, n int) []*server {
+	type rank struct {
+		server *server
+		score  uint64
+	}
+	top := make([]rank, 0, n+1)
+	for _, id := range p.order {
+		s := p.servers[id]
+		score := mix(hash ^ xxhash.Sum64String(id))
+		at := len(top)
+		for at > 0 && top[at-1].score < score {
+			at--
+		}
+		if at >= n {
+			continue
+		}
+		top = append(top, rank{})
+		copy(top[at+1:], top[at:])
+		top[at] = rank{server: s, score: score}
+		top = top[:min(n, len(top))]
+	}
+	servers := make([]*server, len(top))
+	for i, r := range top {
+		servers[i] = r.server
+	}
+	return servers
+}
+
+// mix spreads the bits of x, so that near hashes rank servers differently.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+func (p *Pool) meanScore(now time.Time) float64 {
+	sum, count := 0.0, 0
+	for _, s := range p.servers {
+		if s.record.Leaving || s.ejected(now) {
+			continue
+		}
+		sum += s.score(now)
+		count++
+	}
+	return sum / float64(max(1, count))
+}
+
+// sample compares a few random servers and returns the least loaded.
+func (p *Pool) sample(now time.Time, candidates []*server) *server {
+	best := candidates[p.random.IntN(len(candidates))]
+	for range choices - 1 {
+		other := candidates[p.random.IntN(len(candidates))]
+		if other.score(now) < best.score(now) {
+			best = other
+		}
+	}
+	return best
+}
+
+func leastInFlight(candidates []*server) *server {
+	best := candidates[0]
+	for _, s := range candidates[1:] {
+		if s.inFlight < best.inFlight {
+			best = s
+		}
+	}
+	return best
+}
+
+func contains(servers []*server, wanted *server) bool {
+	for _, s := range servers {
+		if s == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/standin/command.go
@@ -0,0 +1,94 @@
+package standin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+)
+
+// NewCommand returns the command line of the stand-ins.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{Use: "standin", Short: "Run a stand-in for tests: an engine, a service or the platform", SilenceUsage: true}
+	root.AddCommand(newEngineCommand(), newServiceCommand(), newPlatformCommand())
+	return root
+}
+
+func newEngineCommand() *cobra.Command {
+	var config EngineConfig
+	var address string
+	command := &cobra.Command{
+		Use:  "engine",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			engine := NewEngine(config)
+			return serve(command, address, engine, engine.Run)
+		},
+	}
+	flags := command.Flags()
+	flags.StringVar(&address, "address", "127.0.0.1:0", "`host:port` to serve on")
+	flags.IntVar(&config.Slots, "slots", 8, "`number` of requests that run at once")
+	flags.DurationVar(&config.TokenTime, "token-time", 30*time.Millisecond, "`time` of one token")
+	flags.DurationVar(&config.PrefillBlockTime, "prefill-block-time", time.Millisecond, "`time` of one uncached prompt block")
+	flags.IntVar(&config.CacheBlocks, "cache-blocks", 4096, "`capacity` of the prefix cache")
+	flags.DurationVar(&config.ReportLag, "report-lag", 200*time.Millisecond, "`age` of the load reports")
+	flags.BoolVar(&config.IgnoreFences, "ignore-fences", false, "take orders with old fencing numbers")
+	return command
+}
+
+func newServiceCommand() *cobra.Command {
+	var address string
+	command := &cobra.Command{
+		Use:  "service",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command, address, NewService(), nil)
+		},
+	}
+	command.Flags().StringVar(&address, "address", "127.0.0.1:0", "`host:port` to serve on")
+	return command
+}
+
+func newPlatformCommand() *cobra.Command {
+	var address string
+	command := &cobra.Command{
+		Use:  "platform",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			return serve(command, address, NewPlatformServer(NewKeyValue()), nil)
+		},
+	}
+	command.Flags().StringVar(&address, "address", "127.0.0.1:0", "`host:port` to serve on")
+	return command
+}
+
+// serve runs the handler until a signal and prints its address on one line.
+func serve(command *cobra.Command, address string, handler http.Handler, run func(context.Context)) error {
+	ctx, stop := signal.NotifyContext(command.Context(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintln(command.OutOrStdout(), listener.Addr())
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: 5 * time.Second}
+	group, groupCtx := errgroup.WithContext(ctx)
+	if run != nil {
+		group.Go(func() error { run(groupCtx); return nil })
+	}
+	group.Go(func() error {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			return err
+		}
+		return nil
+	})
+	<-groupCtx.Done()
+	_ = server.Close()
+	return group.Wait()
+}
--- /dev/null
+++ b/standin/fault_proxy.go
@@ -0,0 +1,186 @@
+package standin
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// FaultProxy forwards TCP connections to a target and injects faults.
+type FaultProxy struct {
+	target   string
+	listener net.Listener
+	delay    atomic.Int64
+	refuse   atomic.Bool
+	// swallow makes new connections silent too.
+	swallow atomic.Bool
+
+	mu    sync.Mutex
+	links map[*link]struct{}
+}
+
+// link is one forwarded connection.
+type link struct {
+	proxy  *FaultProxy
+	client net.Conn
+	server net.Conn
+	// toServer and toClient drop what passes in their direction.
+	toServer atomic.Bool
+	toClient atomic.Bool
+	// truncate is the number of bytes to the client after which the link is
+	// cut; negative means never.
+	truncate atomic.Int64
+}
+
+// NewFaultProxy returns a proxy that listens on a free loopback port.
+func NewFaultProxy(target string) (*FaultProxy, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &FaultProxy{target: target, listener: listener, links: map[*link]struct{}{}}, nil
+}
+
+// Address returns the host:port that the proxy listens on.
+func (p *FaultProxy) Address() string { return p.listener.Addr().String() }
+
+// Run forwards connections until Close.
+func (p *FaultProxy) Run() {
+	for {
+		client, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		if p.refuse.Load() {
+			reset(client)
+			continue
+		}
+		go p.run(client)
+	}
+}
+
+// Close stops the proxy and cuts all links.
+func (p *FaultProxy) Close() {
+	_ = p.listener.Close()
+	p.Cut()
+}
+
+// SetDelay delays each piece of data in both directions.
+func (p *FaultProxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
+
+// SetRefuse makes new connections end at once.
+func (p *FaultProxy) SetRefuse(refuse bool) { p.refuse.Store(refuse) }
+
+// SetSwallow makes new connections silent.
+func (p *FaultProxy) SetSwallow(swallow bool) { p.swallow.Store(swallow) }
+
+// Cut resets all open links.
+func (p *FaultProxy) Cut() {
+	for _, l := range p.open() {
+		reset(l.client)
+		reset(l.server)
+	}
+}
+
+// Silence makes all open links drop data without closing, in one direction or
+// in both; new connections work.
+func (p *FaultProxy) Silence(toServer, toClient bool) {
+	for _, l := range p.open() {
+		l.toServer.Store(toServer)
+		l.toClient.Store(toClient)
+	}
+}
+
+// Truncate cuts each open link after as many further bytes to the client.
+func (p *FaultProxy) Truncate(after int64) {
+	for _, l := range p.open() {
+		l.truncate.Store(after)
+	}
+}
+
+func (p *FaultProxy) open() []*link {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	links := make([]*link, 0, len(p.links))
+	for l := range p.links {
+		links = append(links, l)
+	}
+	return links
+}
+
+// run forwards one connection until it ends.
+func (p *FaultProxy) run(client net.Conn) {
+	defer client.Close()
+	server, err := net.Dial("tcp", p.target)
+	if err != nil {
+		reset(client)
+		return
+	}
+	defer server.Close()
+	l := &link{proxy: p, client: client, server: server}
+	l.truncate.Store(-1)
+	l.toServer.Store(p.swallow.Load())
+	l.toClient.Store(p.swallow.Load())
+	p.mu.Lock()
+	p.links[l] = struct{}{}
+	p.mu.Unlock()
+	var both sync.WaitGroup
+	both.Go(func() { l.loop(server, client, &l.toServer, false) })
+	both.Go(func() { l.loop(client, server, &l.toClient, true) })
+	both.Wait()
+	p.mu.Lock()
+	delete(p.links, l)
+	p.mu.Unlock()
+}
+
+// loop copies one direction and applies the faults to it.
+func (l *link) loop(to, from net.Conn, silent *atomic.Bool, toClient bool) {
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if n > 0 && !silent.Load() {
+			time.Sleep(time.Duration(l.proxy.delay.Load()))
+			if _, werr := to.Write(l.cutShort(buffer[:n], toClient)); werr != nil {
+				return
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if silent.Load() {
+			return // a silent link does not pass the end on either
+		}
+		if tcp, ok := to.(*net.TCPConn); ok && err == io.EOF {
+			_ = tcp.CloseWrite()
+			return
+		}
+		reset(to)
+		return
+	}
+}
+
+// cutShort applies the truncation and resets the link once it is used up.
+func (l *link) cutShort(data []byte, toClient bool) []byte {
+	left := l.truncate.Load()
+	if !toClient || left < 0 {
+		return data
+	}
+	if int64(len(data)) <= left {
+		l.truncate.Add(-int64(len(data)))
+		return data
+	}
+	_, _ = l.client.Write(data[:left])
+	reset(l.client)
+	reset(l.server)
+	return nil
+}
+
+// reset closes a connection with RST in place of FIN.
+func reset(conn net.Conn) {
+	if tcp, ok := conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+	_ = conn.Close()
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,78 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// ServiceFaults are the faults that a test sets with PUT /faults.
+type ServiceFaults struct {
+	// CrossAnswers stamps answers with the id of another attempt.
+	CrossAnswers bool `json:"cross_answers,omitempty"`
+	// CloseAfterRun runs the request and closes the connection unanswered.
+	CloseAfterRun bool          `json:"close_after_run,omitempty"`
+	Delay         time.Duration `json:"delay,omitempty"`
+}
+
+// Service is a plain service that echoes its requests and counts them.
+type Service struct {
+	ledger *Ledger
+	runs   atomic.Int64
+	faults atomic.Pointer[ServiceFaults]
+}
+
+// NewService returns a service without faults.
+func NewService() *Service {
+	s := &Service{ledger: &Ledger{}}
+	s.faults.Store(&ServiceFaults{})
+	return s
+}
+
+// ServiceEcho is the body of each answer.
+type ServiceEcho struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	Body   string `json:"body"`
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Service) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	switch req.URL.Path {
+	case "/load":
+		_ = json.NewEncoder(w).Encode(bergamotgrade.LoadReport{Slots: 1, MeasuredAt: time.Now()})
+		return
+	case "/ledger":
+		s.ledger.ServeHTTP(w, req)
+		return
+	case "/faults":
+		var faults ServiceFaults
+		if json.NewDecoder(req.Body).Decode(&faults) == nil {
+			s.faults.Store(&faults)
+		}
+		return
+	}
+	body, err := io.ReadAll(io.LimitReader(req.Body, maxBodyBytes))
+	if err != nil {
+		return
+	}
+	entry := s.ledger.add(req, body, 0)
+	s.runs.Add(1)
+	faults := s.faults.Load()
+	time.Sleep(faults.Delay)
+	s.ledger.finish(entry, true)
+	if faults.CloseAfterRun {
+		panic(http.ErrAbortHandler)
+	}
+	attemptID := entry.AttemptID
+	if faults.CrossAnswers {
+		attemptID = "other-" + attemptID
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set(headerAttemptID, attemptID)
+	_ = json.NewEncoder(w).Encode(ServiceEcho{Method: req.Method, Path: req.URL.Path, Body: string(body)})
+}
