Prove online serving under kills, freezes, cuts and crossed answers

Cause: the thin path had no test of a failure. Scripts now bring each fault about with real processes behind the fault-injecting proxy. Found on the way: a 408 left its connection open until the caller closed it, because the read deadline was cleared before net/http drained the body; the deadline now stays.

--- a/caller/constants.go
+++ b/caller/constants.go
@@ -5,10 +5,6 @@
 const (
 	// writeTimeout bounds one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
-	// bodyTimeout bounds the reading of one request body.
-	bodyTimeout = 10 * time.Second
-	// headerTimeout bounds the reading of a request's header.
-	headerTimeout = 5 * time.Second
 	// idleTimeout ends kept connections that carry nothing.
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes bounds a request's header.
--- a/caller/server.go
+++ b/caller/server.go
@@ -37,6 +37,10 @@
 	MaxBodyBytes int64
 	// MaxConnections bounds the open connections.
 	MaxConnections int
+	// HeaderTimeout bounds the reading of a request's header.
+	HeaderTimeout time.Duration
+	// BodyTimeout bounds the reading of a request's body.
+	BodyTimeout time.Duration
 	// RequestTimeout is the time of a request that names no deadline.
 	RequestTimeout time.Duration
 }
@@ -164,9 +168,8 @@
 // readBody reads the whole body within its bounds of size and time.
 func (s *Server) readBody(x *exchange) ([]byte, error) {
 	controller := http.NewResponseController(x.w)
-	_ = controller.SetReadDeadline(time.Now().Add(bodyTimeout))
+	_ = controller.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
 	body, err := io.ReadAll(io.LimitReader(x.req.Body, s.config.MaxBodyBytes+1))
-	_ = controller.SetReadDeadline(time.Time{})
 	if int64(len(body)) > s.config.MaxBodyBytes {
 		x.w.Header().Set("Connection", "close")
 		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the body is larger than this system takes", "send a smaller body").WithNotRun()
@@ -175,6 +178,9 @@
 		x.w.Header().Set("Connection", "close")
 		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTimeout, "the body did not arrive whole in time", "send it again over a better connection").WithNotRun().WithCause(err)
 	}
+	// On an error the deadline stays, so that net/http does not wait for the
+	// rest of the body before it closes the connection.
+	_ = controller.SetReadDeadline(time.Time{})
 	return body, nil
 }
 
@@ -213,7 +219,7 @@
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{
 		Handler:           s.handler,
-		ReadHeaderTimeout: headerTimeout,
+		ReadHeaderTimeout: s.config.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ConnState:         s.connState,
--- a/daemon/demo.go
+++ b/daemon/demo.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bergamotgrade/bergamotgrade"
@@ -116,26 +117,19 @@
 	return listener.Addr().String(), nil
 }
 
+// demoSettings are the flags' defaults but for what the demonstration needs.
 func demoSettings(platformAddress string) Settings {
-	return Settings{
-		VMID:            "demo",
-		DataCentre:      "demo",
-		CallerAddress:   demoCallerAddress,
-		OperatorAddress: demoOperatorAddress,
-		InnerAddress:    "127.0.0.1:0",
-		PlatformAddress: platformAddress,
-		InnerSecret:     "demo-secret-demo-secret",
-		PlatformRate:    50,
-		MaxBodyBytes:    4 << 20,
-		MaxConnections:  1000,
-		RequestTimeout:  2 * time.Minute,
-		FirstToken:      15 * time.Second,
-		TokenGap:        5 * time.Second,
-		DrainQuiet:      100 * time.Millisecond,
-		DrainTimeout:    time.Minute,
-		LeaseTerm:       10 * time.Second,
-		RoutePolicy:     "locality",
-		RateMode:        RateModePledge,
-		SlotCount:       1,
-	}
+	var settings Settings
+	settings.Register(pflag.NewFlagSet("demo", pflag.ContinueOnError))
+	settings.VMID = "demo"
+	settings.DataCentre = "demo"
+	settings.CallerAddress = demoCallerAddress
+	settings.OperatorAddress = demoOperatorAddress
+	settings.InnerAddress = "127.0.0.1:0"
+	settings.PlatformAddress = platformAddress
+	settings.InnerSecret = "demo-secret-demo-secret"
+	settings.DrainNotice = 0
+	settings.DrainQuiet = 100 * time.Millisecond
+	settings.SlotCount = 1
+	return settings
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -25,6 +25,8 @@
 	PlatformRate     float64
 	MaxBodyBytes     int64
 	MaxConnections   int
+	HeaderTimeout    time.Duration
+	BodyTimeout      time.Duration
 	RequestTimeout   time.Duration
 	FirstToken       time.Duration
 	TokenGap         time.Duration
@@ -56,6 +58,8 @@
 	flags.Float64Var(&s.PlatformRate, "platform-rate", 20, "platform `calls` a second besides lease calls")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body in `bytes`")
 	flags.IntVar(&s.MaxConnections, "max-connections", 10000, "largest `number` of connections from callers")
+	flags.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest `time` for the header of a request")
+	flags.DurationVar(&s.BodyTimeout, "body-timeout", 10*time.Second, "longest `time` for the body of a request")
 	flags.DurationVar(&s.RequestTimeout, "request-timeout", 2*time.Minute, "`time` for a request that names no deadline")
 	flags.DurationVar(&s.FirstToken, "first-token-timeout", 15*time.Second, "longest `time` to the first token of an attempt")
 	flags.DurationVar(&s.TokenGap, "token-gap-timeout", 5*time.Second, "longest `time` between two tokens of an attempt")
@@ -133,6 +137,8 @@
 		flag  string
 		value time.Duration
 	}{
+		{"header-timeout", s.HeaderTimeout},
+		{"body-timeout", s.BodyTimeout},
 		{"request-timeout", s.RequestTimeout},
 		{"first-token-timeout", s.FirstToken},
 		{"token-gap-timeout", s.TokenGap},
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -52,7 +52,7 @@
 		backend:  client,
 		wake:     make(chan struct{}, 1),
 	}
-	server, err := caller.New(caller.Config{MaxBodyBytes: settings.MaxBodyBytes, MaxConnections: settings.MaxConnections, RequestTimeout: settings.RequestTimeout}, caller.Dependencies{
+	server, err := caller.New(callerConfig(settings), caller.Dependencies{
 		Clock:   clock,
 		Source:  vm,
 		Limiter: limit.NewStatic(clock, settings.SlotCount),
@@ -69,6 +69,16 @@
 	return vm, nil
 }
 
+func callerConfig(settings Settings) caller.Config {
+	return caller.Config{
+		MaxBodyBytes:   settings.MaxBodyBytes,
+		MaxConnections: settings.MaxConnections,
+		HeaderTimeout:  settings.HeaderTimeout,
+		BodyTimeout:    settings.BodyTimeout,
+		RequestTimeout: settings.RequestTimeout,
+	}
+}
+
 // metricMap returns the expvar map of the name, made on first use.
 func metricMap(name string) *expvar.Map {
 	if found, ok := expvar.Get(name).(*expvar.Map); ok {
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -6,11 +6,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,6 +50,8 @@
 	// direct holds the address of each process behind its proxies.
 	direct map[string]string
 	jobs   map[string]*job
+	number int64
+	port   int
 }
 
 type process struct {
@@ -119,12 +121,13 @@
 	}
 }
 
-// freePort returns a loopback address that was free a moment ago.
-func freePort(ts *testscript.TestScript) string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	ts.Check(err)
-	defer listener.Close()
-	return listener.Addr().String()
+// fleets counts the fleets of this test run.
+var fleets atomic.Int64
+
+// nextAddress returns a loopback address that belongs to this fleet alone.
+func (f *fleet) nextAddress() string {
+	f.port++
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number%250, 20000+f.port)
 }
 
 // shape is the size of a fleet, read from key=value arguments.
@@ -210,7 +213,7 @@
 
 func (f *fleet) startVM(number int, s shape, platformAddress string) {
 	name := fmt.Sprintf("vm%d", number)
-	caller, operator, inner := freePort(f.ts), freePort(f.ts), freePort(f.ts)
+	caller, operator, inner := f.nextAddress(), f.nextAddress(), f.nextAddress()
 	f.direct[name] = caller
 	f.direct[name+"-operator"] = operator
 	f.proxy(name, caller)
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"regexp"
@@ -25,7 +26,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}}
+			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}, number: fleets.Add(1)}
 			env.Values[fleetKey{}] = f
 			env.Defer(f.close)
 			return nil
@@ -33,7 +34,9 @@
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"fleet":   withFleet(cmdFleet),
 			"request": withFleet(cmdRequest),
-			"wait":    withFleet(cmdWait),
+			"answers": withFleet(cmdAnswers),
+			"running": withFleet(cmdRunning),
+			"raw":     withFleet(cmdRaw),
 			"signal":  withFleet(cmdSignal),
 			"link":    withFleet(cmdLink),
 			"fault":   withFleet(cmdFault),
@@ -124,6 +127,7 @@
 	}
 	res, err := client.Do(req)
 	if err != nil {
+		callerTransport.CloseIdleConnections()
 		return "no answer\n"
 	}
 	defer res.Body.Close()
@@ -190,13 +194,54 @@
 	j.output = strings.Join(lines, "")
 }
 
-// cmdWait prints the answers of a background job.
-func cmdWait(ts *testscript.TestScript, _ bool, args []string) {
+// cmdAnswers waits for a background job and prints its answers.
+func cmdAnswers(ts *testscript.TestScript, _ bool, args []string) {
 	j := fleetOf(ts).jobs[args[0]]
 	<-j.done
 	_, _ = io.WriteString(ts.Stdout(), j.output)
 }
 
+// cmdRunning checks that a background job has not ended yet.
+func cmdRunning(ts *testscript.TestScript, neg bool, args []string) {
+	select {
+	case <-fleetOf(ts).jobs[args[0]].done:
+		if !neg {
+			ts.Fatalf("job %s has ended", args[0])
+		}
+	default:
+		if neg {
+			ts.Fatalf("job %s still runs", args[0])
+		}
+	}
+}
+
+// cmdRaw writes text to a VM over a new connection and prints the status line
+// and the error code of the answer. With "open N" first, as many idle
+// connections stand open meanwhile.
+func cmdRaw(ts *testscript.TestScript, _ bool, args []string) {
+	address := fleetOf(ts).proxies[args[0]].Address()
+	if len(args) == 4 && args[2] == "open" {
+		count, err := strconv.Atoi(args[3])
+		ts.Check(err)
+		for range count {
+			idle, err := net.Dial("tcp", address)
+			ts.Check(err)
+			defer idle.Close()
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	conn, err := net.Dial("tcp", address)
+	ts.Check(err)
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(10 * time.Second))
+	_, err = io.WriteString(conn, strings.NewReplacer(`\r`, "\r", `\n`, "\n").Replace(args[1]))
+	ts.Check(err)
+	answer, err := io.ReadAll(io.LimitReader(conn, 4096))
+	status, _, _ := strings.Cut(string(answer), "\r\n")
+	code := regexp.MustCompile(`"code":"[a-z_]+"|"not_run":[a-z]+`).FindAllString(string(answer), -1)
+	_, _ = fmt.Fprintln(ts.Stdout(), status, code, err)
+}
+
 // cmdSignal sends a signal to a process; EXIT waits for its end.
 func cmdSignal(ts *testscript.TestScript, _ bool, args []string) {
 	p := fleetOf(ts).processes[args[0]]
@@ -223,8 +268,7 @@
 	case "silence-to-client":
 		p.Silence(false, true)
 	case "refuse":
-		p.SetRefuse(true)
-		p.Cut()
+		p.Close()
 	case "swallow":
 		p.SetSwallow(true)
 		p.Silence(true, true)
@@ -236,8 +280,10 @@
 		after, err := strconv.ParseInt(args[2], 10, 64)
 		ts.Check(err)
 		p.Truncate(after)
+	case "accept":
+		ts.Check(p.Reopen())
+		go p.Run()
 	case "heal":
-		p.SetRefuse(false)
 		p.SetSwallow(false)
 		p.SetDelay(0)
 		p.Cut()
--- a/standin/fault_proxy.go
+++ b/standin/fault_proxy.go
@@ -10,15 +10,15 @@
 
 // FaultProxy forwards TCP connections to a target and injects faults.
 type FaultProxy struct {
-	target   string
-	listener net.Listener
-	delay    atomic.Int64
-	refuse   atomic.Bool
+	target  string
+	address string
+	delay   atomic.Int64
 	// swallow makes new connections silent too.
 	swallow atomic.Bool
 
-	mu    sync.Mutex
-	links map[*link]struct{}
+	mu       sync.Mutex
+	listener net.Listener
+	links    map[*link]struct{}
 }
 
 // link is one forwarded connection.
@@ -40,39 +40,49 @@
 	if err != nil {
 		return nil, err
 	}
-	return &FaultProxy{target: target, listener: listener, links: map[*link]struct{}{}}, nil
+	return &FaultProxy{target: target, address: listener.Addr().String(), listener: listener, links: map[*link]struct{}{}}, nil
 }
 
 // Address returns the host:port that the proxy listens on.
-func (p *FaultProxy) Address() string { return p.listener.Addr().String() }
+func (p *FaultProxy) Address() string { return p.address }
 
-// Run forwards connections until Close.
+// Run forwards connections until the listener closes.
 func (p *FaultProxy) Run() {
+	p.mu.Lock()
+	listener := p.listener
+	p.mu.Unlock()
 	for {
-		client, err := p.listener.Accept()
+		client, err := listener.Accept()
 		if err != nil {
 			return
 		}
-		if p.refuse.Load() {
-			reset(client)
-			continue
-		}
 		go p.run(client)
 	}
 }
 
-// Close stops the proxy and cuts all links.
+// Close stops the proxy and cuts all links; new connections are refused.
 func (p *FaultProxy) Close() {
+	p.mu.Lock()
 	_ = p.listener.Close()
+	p.mu.Unlock()
 	p.Cut()
 }
 
+// Reopen listens again after Close; Run has to be called again.
+func (p *FaultProxy) Reopen() error {
+	listener, err := net.Listen("tcp", p.address)
+	if err != nil {
+		return err
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.listener = listener
+	return nil
+}
+
 // SetDelay delays each piece of data in both directions.
 func (p *FaultProxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
 
-// SetRefuse makes new connections end at once.
-func (p *FaultProxy) SetRefuse(refuse bool) { p.refuse.Store(refuse) }
-
 // SetSwallow makes new connections silent.
 func (p *FaultProxy) SetSwallow(swallow bool) { p.swallow.Store(swallow) }
 
