Share each rate over all VMs by pledged standing shares

Cause: a static split refuses a team whose requests reach few of the VMs, and an owner under a platform lease stops with the platform. Every VM now holds slots of every rate, agreed in one platform value; it pledges them to the broker of a partition, which lends tokens. Safety rests on conservation alone: a broker lends only what was pledged, a giver spends nothing that it has lent, so two brokers, a frozen one or a lost answer cannot add tokens. Keys and shares are held on while the platform lease stands or more than half of the members answer; a note is announced to more than half of them before its acceptance.

--- a/caller/credential.go
+++ b/caller/credential.go
@@ -24,14 +24,15 @@
 }
 
 // identify checks the key of this very request against the state in force.
-func identify(state *release.State, req *http.Request) (identity, error) {
+func identify(source StateSource, req *http.Request) (identity, error) {
 	secret := secretOf(req)
 	if secret == "" || len(secret) > maxKeyBytes {
 		return identity{}, bergamotgrade.NewError(bergamotgrade.KindKeyMissing, "the request carries no key", "send `Authorization: Bearer KEY`").WithNotRun()
 	}
 	hash := bergamotgrade.HashKey(secret)
+	state := source.State()
 	team, ok := teamOf(state, hash)
-	if !ok {
+	if !ok || source.KeyDoubtful(bergamotgrade.Key{KeyHash: hash, TeamID: team.TeamID}) {
 		return identity{}, bergamotgrade.NewError(bergamotgrade.KindKeyUnknown, "the key is not in force", "use a key that your operator has given and not withdrawn").WithNotRun()
 	}
 	return identity{team: team, keyHash: hash}, nil
--- a/caller/server.go
+++ b/caller/server.go
@@ -29,6 +29,9 @@
 	// Fresh returns nil, or the error for callers while this VM must not trust
 	// its state.
 	Fresh() error
+	// KeyDoubtful reports whether the key may have been withdrawn by a note that
+	// this VM cannot ask the platform about.
+	KeyDoubtful(key bergamotgrade.Key) bool
 }
 
 // Config sets the bounds towards callers.
@@ -149,7 +152,7 @@
 	if err := s.deps.Source.Fresh(); err != nil {
 		return identity{}, err
 	}
-	return identify(s.deps.Source.State(), x.req)
+	return identify(s.deps.Source, x.req)
 }
 
 // enter registers the request under its key. A key that was withdrawn since the
--- a/config.go
+++ b/config.go
@@ -82,7 +82,10 @@
 	InnerAddress    string `json:"inner_address"`
 	OperatorAddress string `json:"operator_address"`
 	Leaving         bool   `json:"leaving,omitempty"`
-	// Slot is the VM's index in the table of standing shares.
-	Slot      int       `json:"slot"`
+	// MachineID, BootID and ProcessID let a later process on the same machine
+	// find that this one has ended.
+	MachineID string    `json:"machine_id,omitempty"`
+	BootID    string    `json:"boot_id,omitempty"`
+	ProcessID int       `json:"process_id"`
 	StartedAt time.Time `json:"started_at"`
 }
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -37,6 +37,7 @@
 	RoutePolicy      string
 	RateMode         string
 	SlotCount        int
+	PeerAddresses    []string
 	AdvertiseInner   string
 	AdvertiseOperate string
 }
@@ -51,6 +52,7 @@
 	flags.StringVar(&s.CallerAddress, "caller-address", "127.0.0.1:8080", "`host:port` for callers")
 	flags.StringVar(&s.OperatorAddress, "operator-address", "127.0.0.1:8081", "`host:port` for operators; keep it away from callers")
 	flags.StringVar(&s.InnerAddress, "inner-address", "127.0.0.1:8082", "`host:port` for other VMs")
+	flags.StringSliceVar(&s.PeerAddresses, "peer-addresses", nil, "inner `addresses` of some VMs, asked for the configuration when the platform is down at the start")
 	flags.StringVar(&s.AdvertiseInner, "advertise-inner-address", "", "`host:port` at which other VMs reach this one, if not the inner address")
 	flags.StringVar(&s.AdvertiseOperate, "advertise-operator-address", "", "`host:port` at which operators reach this VM, if not the operator address")
 	flags.StringVar(&s.PlatformAddress, "platform-address", "", "`host:port` of the platform's key-value service")
@@ -117,6 +119,9 @@
 	address("operator-address", s.OperatorAddress)
 	address("inner-address", s.InnerAddress)
 	address("platform-address", s.PlatformAddress)
+	for _, peer := range s.PeerAddresses {
+		address("peer-addresses", peer)
+	}
 	add(len(s.InnerSecret) < 16, "inner-secret", "shorter than 16 bytes", "give all VMs the same long random secret")
 	add(s.PlatformRate <= 0, "platform-rate", "not above zero", "give this VM's part of the platform's call budget")
 	add(s.MaxBodyBytes < 1024, "max-body-bytes", "below 1024", "give a larger bound")
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -17,23 +18,34 @@
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/idempotency"
 	"github.com/bergamotgrade/bergamotgrade/limit"
+	"github.com/bergamotgrade/bergamotgrade/member"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/rate"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/route"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
+	"github.com/bergamotgrade/bergamotgrade/vm"
 )
 
+// operatorHeaderTimeout bounds the header of an operator's request.
+const operatorHeaderTimeout = 5 * time.Second
+
 // VM is one entry VM of the system.
 type VM struct {
 	settings Settings
 	ring     *timeline.Ring
-	store    *release.Store
 	follower *release.Follower
+	courier  *courier
+	keeper   *member.Keeper
+	limiter  *rate.Limiter
+	inner    *vm.Server
 	fleet    *dispatch.Fleet
 	backend  *backend.Client
 	caller   *caller.Server
 	wake     chan struct{}
+	// ratesSeen is set once all standing shares were held and lent.
+	ratesSeen atomic.Bool
 }
 
 // New returns a VM with checked settings; Run starts it.
@@ -42,21 +54,28 @@
 	ring := timeline.New(clock, settings.VMID)
 	service := platform.New(settings.PlatformAddress, settings.PlatformRate, metricMap("platform_calls"))
 	store := release.NewStore(service)
+	peers := vm.NewPeers(settings.InnerSecret, metricMap("inner"))
 	client := backend.New(backend.Timeouts{FirstToken: settings.FirstToken, TokenGap: settings.TokenGap, IdempotentCall: settings.FirstToken})
-	vm := &VM{
+	v := &VM{
 		settings: settings,
 		ring:     ring,
-		store:    store,
 		follower: release.NewFollower(clock, store, ring),
 		fleet:    dispatch.New(clock, client, ring, route.Policy(settings.RoutePolicy)),
 		backend:  client,
 		wake:     make(chan struct{}, 1),
 	}
-	server, err := caller.New(callerConfig(settings), caller.Dependencies{
+	v.courier = newCourier(v.follower, store, peers, settings.PeerAddresses)
+	revision := func() int64 { return v.follower.State().Revision() }
+	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, v.courier.hear)
+	v.courier.keeper = v.keeper
+	v.limiter = rate.New(rate.Config{SlotCount: settings.SlotCount, Patient: settings.RateMode == RateModePledge}, clock, v.keeper, peers, v.follower.State, metricMap("rate"))
+	v.inner = vm.NewServer(settings.InnerSecret, inner{v}, metricMap("inner"))
+	var err error
+	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
 		Clock:   clock,
-		Source:  vm,
-		Limiter: limit.NewStatic(clock, settings.SlotCount),
-		Fleet:   vm.fleet,
+		Source:  v,
+		Limiter: v.chooseLimiter(clock),
+		Fleet:   v.fleet,
 		Records: idempotency.New(service, clock),
 		Ring:    ring,
 		Metrics: metricMap("caller"),
@@ -64,9 +83,39 @@
 	if err != nil {
 		return nil, err
 	}
-	vm.caller = server
-	vm.follower.OnChange(vm.applyState)
-	return vm, nil
+	v.follower.OnChange(v.applyState)
+	v.keeper.OnChange(func() { v.fleet.SetState(v.follower.State(), v.vmCount()) })
+	v.keeper.OnChange(v.limiter.Nudge)
+	return v, nil
+}
+
+func (v *VM) chooseLimiter(clock bergamotgrade.Clock) bergamotgrade.Limiter {
+	if v.settings.RateMode == RateModeStatic {
+		return limit.NewStatic(clock, v.settings.SlotCount)
+	}
+	return v.limiter
+}
+
+func keeperConfig(settings Settings) member.Config {
+	record := bergamotgrade.VMRecord{
+		VMID:            settings.VMID,
+		DataCentre:      settings.DataCentre,
+		InnerAddress:    orElse(settings.AdvertiseInner, settings.InnerAddress),
+		OperatorAddress: orElse(settings.AdvertiseOperate, settings.OperatorAddress),
+	}
+	return member.Config{
+		Record:        member.Identify(record),
+		SlotCount:     settings.SlotCount,
+		LeaseTerm:     settings.LeaseTerm,
+		PeerAddresses: settings.PeerAddresses,
+	}
+}
+
+func orElse(value, fallback string) string {
+	if value != "" {
+		return value
+	}
+	return fallback
 }
 
 func callerConfig(settings Settings) caller.Config {
@@ -87,52 +136,92 @@
 	return expvar.NewMap(name)
 }
 
-func (vm *VM) applyState(state *release.State) {
-	vm.fleet.SetState(state, 1)
-	vm.caller.EnforceState(state)
+func (v *VM) vmCount() int { return max(1, len(v.keeper.Table().Members)) }
+
+func (v *VM) applyState(state *release.State) {
+	v.fleet.SetState(state, v.vmCount())
+	v.caller.EnforceState(state)
 	klog.InfoS("configuration in force", "revision", state.Revision())
 }
 
 // State implements caller.StateSource.
-func (vm *VM) State() *release.State { return vm.follower.State() }
+func (v *VM) State() *release.State { return v.follower.State() }
+
+// Fresh implements caller.StateSource: a VM that is cut off from the platform
+// and from most others must not trust its keys.
+func (v *VM) Fresh() error {
+	if v.keeper.Holds() {
+		return nil
+	}
+	return bergamotgrade.NewError(bergamotgrade.KindNotReady, "this VM is cut off from the platform and from most other VMs", "try again at another VM").
+		WithNotRun().WithRetryAt(time.Now().Add(time.Second))
+}
 
-// Fresh implements caller.StateSource.
-func (vm *VM) Fresh() error { return nil }
+// KeyDoubtful implements caller.StateSource.
+func (v *VM) KeyDoubtful(key bergamotgrade.Key) bool { return v.follower.KeyDoubtful(key) }
 
 // Run serves until the context ends and then stops without cutting a request.
-func (vm *VM) Run(ctx context.Context) error {
+func (v *VM) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	group, groupCtx := errgroup.WithContext(background)
-	callers, err := net.Listen("tcp", vm.settings.CallerAddress)
+	listeners, err := v.listen()
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", vm.settings.OperatorAddress)
-	if err != nil {
-		return err
+	var parts group
+	parts.start(background, func(ctx context.Context) { v.follower.Run(ctx, v.wake, v.keeper.IsReader) })
+	parts.start(background, v.courier.run)
+	parts.start(background, v.keeper.Run)
+	parts.start(background, v.limiter.Run)
+	parts.start(background, v.fleet.Run)
+	parts.start(background, v.backend.Run)
+	parts.start(background, func(ctx context.Context) { v.inner.Run(ctx, listeners.inner) })
+	err = v.serve(ctx, background, listeners)
+	stopBackground()
+	parts.parts.Wait()
+	klog.InfoS("stopped", "vm_id", v.settings.VMID)
+	return err
+}
+
+// listeners are the addresses that a VM serves on.
+type listeners struct {
+	callers, operators, inner net.Listener
+}
+
+func (v *VM) listen() (listeners, error) {
+	var l listeners
+	var err error
+	if l.callers, err = net.Listen("tcp", v.settings.CallerAddress); err != nil {
+		return l, err
+	}
+	if l.operators, err = net.Listen("tcp", v.settings.OperatorAddress); err != nil {
+		return l, err
 	}
-	callerServer := vm.caller.HTTPServer()
-	operatorServer := &http.Server{Handler: operator.Handler(vm.status, vm.ring, operator.NewNoteHandler(vm)), ReadHeaderTimeout: 5 * time.Second}
-	group.Go(func() error { vm.follower.Run(groupCtx, vm.wake); return nil })
-	group.Go(func() error { vm.fleet.Run(groupCtx); return nil })
-	group.Go(func() error { vm.backend.Run(groupCtx); return nil })
-	group.Go(func() error { return closed(operatorServer.Serve(operators)) })
-	group.Go(func() error { return closed(callerServer.Serve(callers)) })
-	klog.InfoS("serving", "vm_id", vm.settings.VMID, "caller_address", callers.Addr().String(), "operator_address", operators.Addr().String())
+	l.inner, err = net.Listen("tcp", v.settings.InnerAddress)
+	return l, err
+}
+
+// serve answers callers and operators until the stop, and then drains.
+func (v *VM) serve(ctx, background context.Context, l listeners) error {
+	callerServer := v.caller.HTTPServer()
+	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.courier)), ReadHeaderTimeout: operatorHeaderTimeout}
+	servers, serversCtx := errgroup.WithContext(background)
+	servers.Go(func() error { return closed(operatorServer.Serve(l.operators)) })
+	servers.Go(func() error { return closed(callerServer.Serve(l.callers)) })
+	klog.InfoS("serving", "vm_id", v.settings.VMID, "caller_address", l.callers.Addr().String(), "operator_address", l.operators.Addr().String(), "inner_address", l.inner.Addr().String())
 	select {
 	case <-ctx.Done():
-	case <-groupCtx.Done():
-		return group.Wait()
+	case <-serversCtx.Done():
+		return servers.Wait()
 	}
-	klog.InfoS("stopping", "vm_id", vm.settings.VMID, "in_flight", vm.caller.InFlight())
-	drainCtx, cancel := context.WithTimeout(background, vm.settings.DrainTimeout)
+	klog.InfoS("stopping", "vm_id", v.settings.VMID, "in_flight", v.caller.InFlight())
+	drainCtx, cancel := context.WithTimeout(background, v.settings.DrainTimeout)
 	defer cancel()
-	err = vm.caller.Drain(drainCtx, callerServer, vm.settings.DrainNotice, vm.settings.DrainQuiet)
+	v.keeper.SetLeaving(drainCtx)
+	err := v.caller.Drain(drainCtx, callerServer, v.settings.DrainNotice, v.settings.DrainQuiet)
+	v.keeper.Leave(background)
 	_ = operatorServer.Close()
-	stopBackground()
-	_ = group.Wait()
-	klog.InfoS("stopped", "vm_id", vm.settings.VMID)
+	_ = servers.Wait()
 	return err
 }
 
@@ -143,44 +232,3 @@
 	}
 	return err
 }
-
-func (vm *VM) status() operator.Status {
-	state := vm.follower.State()
-	status := operator.Status{
-		VMID:       vm.settings.VMID,
-		DataCentre: vm.settings.DataCentre,
-		Revision:   state.Revision(),
-		Draining:   vm.caller.Draining(),
-		InFlight:   vm.caller.InFlight(),
-		Waiting:    vm.fleet.QueueLength(),
-		Teams:      state.TeamCount(),
-		Keys:       state.KeyCount(),
-	}
-	switch {
-	case status.Draining:
-		status.Reason = "the VM is stopping"
-	case state.Revision() == 0:
-		status.Reason = "no configuration has been read yet"
-	default:
-		status.Ready = true
-	}
-	return status
-}
-
-// Submit implements operator.NoteService.
-func (vm *VM) Submit(ctx context.Context, note release.Note) (int64, error) {
-	revision, err := vm.store.Submit(ctx, note)
-	if err == nil {
-		err = vm.follower.Refresh(ctx)
-	}
-	return revision, err
-}
-
-// History implements operator.NoteService.
-func (vm *VM) History(ctx context.Context, above int64) ([]release.AcceptedNote, error) {
-	head, _, err := vm.store.Head(ctx)
-	if err != nil {
-		return nil, err
-	}
-	return vm.store.Notes(ctx, head, above)
-}
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -18,6 +18,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/daemon"
+	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/standin"
 )
@@ -180,6 +181,9 @@
 	for i := 1; i <= s.vms; i++ {
 		f.waitReady(fmt.Sprintf("vm%d", i))
 	}
+	for i := 1; i <= s.vms; i++ {
+		f.waitSettled(fmt.Sprintf("vm%d", i))
+	}
 }
 
 // baseNote starts the backend servers and returns the note that names them.
@@ -215,6 +219,7 @@
 	name := fmt.Sprintf("vm%d", number)
 	caller, operator, inner := f.nextAddress(), f.nextAddress(), f.nextAddress()
 	f.direct[name] = caller
+	f.direct[name+"-inner"] = inner
 	f.direct[name+"-operator"] = operator
 	f.proxy(name, caller)
 	args := []string{
@@ -264,6 +269,19 @@
 	})
 }
 
+// waitSettled waits until the VM has lent its shares of all rates.
+func (f *fleet) waitSettled(vm string) {
+	f.poll(vm+" has settled rates", func() bool {
+		res, err := http.Get(f.operatorURL(vm, "/status"))
+		if err != nil {
+			return false
+		}
+		defer res.Body.Close()
+		var status operator.Status
+		return json.NewDecoder(res.Body).Decode(&status) == nil && status.RatesSettled
+	})
+}
+
 func (f *fleet) submit(note release.Note) {
 	body, err := json.Marshal(note)
 	f.ts.Check(err)
--- /dev/null
+++ b/member/process.go
@@ -0,0 +1,37 @@
+package member
+
+import (
+	"os"
+	"strings"
+	"syscall"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// Identify fills in the machine, the boot and the process of this VM.
+func Identify(record bergamotgrade.VMRecord) bergamotgrade.VMRecord {
+	record.MachineID = readLine("/etc/machine-id")
+	record.BootID = readLine("/proc/sys/kernel/random/boot_id")
+	record.ProcessID = os.Getpid()
+	return record
+}
+
+func readLine(path string) string {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return ""
+	}
+	return strings.TrimSpace(string(data))
+}
+
+// ended reports whether the former process is known to have ended: it ran on
+// this machine, before the last boot or under a process number that is free.
+func ended(former, self bergamotgrade.VMRecord) bool {
+	if former.BootID == "" || former.MachineID != self.MachineID {
+		return false
+	}
+	if former.BootID != self.BootID {
+		return former.MachineID != ""
+	}
+	return former.ProcessID == self.ProcessID || syscall.Kill(former.ProcessID, 0) == syscall.ESRCH
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -17,14 +17,16 @@
 	Revision   int64  `json:"revision"`
 	Ready      bool   `json:"ready"`
 	// Reason says why the VM is not ready.
-	Reason   string   `json:"reason,omitempty"`
-	Draining bool     `json:"draining,omitempty"`
-	InFlight int      `json:"in_flight"`
-	Waiting  int      `json:"waiting"`
-	Teams    int      `json:"teams"`
-	Keys     int      `json:"keys"`
-	Slots    []int    `json:"slots"`
-	Members  []Member `json:"members"`
+	Reason   string `json:"reason,omitempty"`
+	Draining bool   `json:"draining,omitempty"`
+	InFlight int    `json:"in_flight"`
+	Waiting  int    `json:"waiting"`
+	Teams    int    `json:"teams"`
+	Keys     int    `json:"keys"`
+	Slots    []int  `json:"slots"`
+	// RatesSettled says that all standing shares are held and lent.
+	RatesSettled bool     `json:"rates_settled"`
+	Members      []Member `json:"members"`
 }
 
 // Member is one VM as this VM knows it.
--- a/release/constants.go
+++ b/release/constants.go
@@ -12,7 +12,9 @@
 	// maxNoteBytes bounds one encoded note.
 	maxNoteBytes = 768 << 10
 	// pollFloor is the longest time between two reads of the head.
-	pollFloor = 3 * time.Second
+	pollFloor = 5 * time.Second
+	// watchTerm is how long one watch call waits.
+	watchTerm = 10 * time.Second
 	// failurePause is the pause after a failed platform call.
 	failurePause = 300 * time.Millisecond
 	// keptNotes is the number of recent notes that a VM hands to its peers.
--- a/release/follower.go
+++ b/release/follower.go
@@ -185,8 +185,13 @@
 }
 
 // Run reads the head at least once in each poll interval until the context
-// ends. A wake-up makes it read at once.
-func (f *Follower) Run(ctx context.Context, wake <-chan struct{}) {
+// ends; a wake-up makes it read at once. The VM that is the reader of its data
+// centre also keeps a watch on the head.
+func (f *Follower) Run(ctx context.Context, wake <-chan struct{}, isReader func() bool) {
+	var watch sync.WaitGroup
+	defer watch.Wait()
+	changed := make(chan struct{}, 1)
+	watch.Go(func() { f.loopWatch(ctx, isReader, changed) })
 	for {
 		pause := pollFloor
 		if err := f.Refresh(ctx); err != nil {
@@ -198,8 +203,40 @@
 			timer.Stop()
 			return
 		case <-wake:
+		case <-changed:
 		case <-timer.C:
 		}
 		timer.Stop()
 	}
 }
+
+// loopWatch waits for changes of the head while this VM is the reader.
+func (f *Follower) loopWatch(ctx context.Context, isReader func() bool, changed chan<- struct{}) {
+	for ctx.Err() == nil {
+		if !isReader() {
+			sleep(ctx, failurePause)
+			continue
+		}
+		head, after, err := f.store.Head(ctx)
+		if err == nil && head.Revision <= f.State().Revision() {
+			err = f.store.Watch(ctx, after)
+		}
+		if err != nil {
+			sleep(ctx, failurePause)
+			continue
+		}
+		select {
+		case changed <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
--- a/release/store.go
+++ b/release/store.go
@@ -38,6 +38,14 @@
 	return head, entry.Revision, nil
 }
 
+// Watch waits until the head may have changed after the platform revision.
+func (s *Store) Watch(ctx context.Context, after int64) error {
+	ctx, cancel := context.WithTimeout(ctx, watchTerm)
+	defer cancel()
+	_, err := s.platform.Watch(ctx, headKey, after)
+	return err
+}
+
 // Notes returns the accepted notes above the revision up to the head, oldest
 // first.
 func (s *Store) Notes(ctx context.Context, head Head, above int64) ([]AcceptedNote, error) {
@@ -112,11 +120,16 @@
 	return state, nil
 }
 
+// Announce tells other VMs of a note that is about to be accepted.
+type Announce func(ctx context.Context, note AcceptedNote) error
+
 // Submit accepts the note by one compare-and-swap on the head and returns its
 // revision. A note that was accepted before returns its first revision.
-func (s *Store) Submit(ctx context.Context, note Note) (int64, error) {
+// announce, if not nil, is called with the note before the swap and can refuse
+// it.
+func (s *Store) Submit(ctx context.Context, note Note, announce Announce) (int64, error) {
 	for {
-		revision, err := s.submitOnce(ctx, note)
+		revision, err := s.submitOnce(ctx, note, announce)
 		if !bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
 			return revision, err
 		}
@@ -129,7 +142,7 @@
 	}
 }
 
-func (s *Store) submitOnce(ctx context.Context, note Note) (int64, error) {
+func (s *Store) submitOnce(ctx context.Context, note Note, announce Announce) (int64, error) {
 	head, headRevision, err := s.Head(ctx)
 	if err != nil {
 		return 0, err
@@ -152,10 +165,10 @@
 	if err := CheckError(Check(state, note)); err != nil {
 		return 0, err
 	}
-	return s.accept(ctx, head, headRevision, state, note)
+	return s.accept(ctx, head, headRevision, state, note, announce)
 }
 
-func (s *Store) accept(ctx context.Context, head Head, headRevision int64, state *State, note Note) (int64, error) {
+func (s *Store) accept(ctx context.Context, head Head, headRevision int64, state *State, note Note, announce Announce) (int64, error) {
 	accepted := AcceptedNote{Revision: head.Revision + 1, PreviousKey: head.NoteKey, Note: note}
 	next := head
 	next.Revision = accepted.Revision
@@ -174,6 +187,11 @@
 	if err != nil {
 		return 0, err
 	}
+	if announce != nil {
+		if err := announce(ctx, accepted); err != nil {
+			return 0, err
+		}
+	}
 	if _, err := s.platform.CompareAndSwap(ctx, headKey, value, headRevision, ""); err != nil {
 		return 0, err
 	}
--- /dev/null
+++ b/vm/message.go
@@ -0,0 +1,142 @@
+// Package vm is the protocol between the VMs of the system: JSON-RPC 2.0 over
+// TCP behind a handshake with a shared secret.
+package vm
+
+import (
+	"context"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade/release"
+)
+
+// The methods of the protocol.
+const (
+	methodHeartbeat = "heartbeat"
+	methodNotes     = "notes"
+	methodPending   = "pending"
+	methodEvict     = "evict"
+	methodPledge    = "pledge"
+	methodBorrow    = "borrow"
+	methodTable     = "table"
+)
+
+// Heartbeat tells a peer that a VM is alive and what it has in force.
+type Heartbeat struct {
+	VMID        string `json:"vm_id"`
+	Incarnation string `json:"incarnation"`
+	Revision    int64  `json:"revision"`
+	TableEpoch  int64  `json:"table_epoch"`
+	Leaving     bool   `json:"leaving,omitempty"`
+}
+
+// HeartbeatAnswer is the peer's own heartbeat.
+type HeartbeatAnswer struct {
+	Heartbeat
+	// Refused is set once the peer has agreed to the sender's eviction; the
+	// answer does not count as contact then.
+	Refused bool `json:"refused,omitempty"`
+	// PendingRevision is the newest note that the peer knows to be submitted.
+	PendingRevision int64 `json:"pending_revision,omitempty"`
+}
+
+// NotesCall asks for the accepted notes above a revision, and offers some.
+type NotesCall struct {
+	Above int64                  `json:"above"`
+	Offer []release.AcceptedNote `json:"offer,omitempty"`
+}
+
+// NotesAnswer carries notes, or the whole state where the peer has dropped the
+// oldest of them.
+type NotesAnswer struct {
+	Revision int64                  `json:"revision"`
+	Notes    []release.AcceptedNote `json:"notes,omitempty"`
+	Pending  []release.AcceptedNote `json:"pending,omitempty"`
+	State    *release.Records       `json:"state,omitempty"`
+}
+
+// PendingCall announces a note whose acceptance is about to be tried.
+type PendingCall struct {
+	Note release.AcceptedNote `json:"note"`
+}
+
+// EvictCall asks a member to agree that a VM is gone.
+type EvictCall struct {
+	VMID        string `json:"vm_id"`
+	Incarnation string `json:"incarnation"`
+}
+
+// EvictAnswer says whether the member agrees and will refuse the VM from now on.
+type EvictAnswer struct {
+	Agreed bool `json:"agreed"`
+}
+
+// PledgeCall lends the sender's standing shares of some partitions to the
+// receiver.
+type PledgeCall struct {
+	// BrokerID is the incarnation that the pledges are meant for.
+	BrokerID    string  `json:"broker_id"`
+	Incarnation string  `json:"incarnation"`
+	Pledges     []Share `json:"pledges,omitempty"`
+	// Released lists pledges that the receiver is to drop.
+	Released []Share `json:"released,omitempty"`
+}
+
+// Share is the pledge for one partition of teams.
+type Share struct {
+	Partition int `json:"partition"`
+	// PledgeID stays the same while the pledge has not been interrupted.
+	PledgeID int `json:"pledge_id"`
+	Slots    int `json:"slots,omitempty"`
+	// Stamp is the receiver's clock in its last answer, in nanoseconds since
+	// its start; zero if there was none.
+	Stamp int64 `json:"stamp,omitempty"`
+}
+
+// PledgeAnswer carries the receiver's clock for the next pledge.
+type PledgeAnswer struct {
+	BrokerID string `json:"broker_id"`
+	Stamp    int64  `json:"stamp"`
+}
+
+// BorrowCall asks for tokens of one team.
+type BorrowCall struct {
+	Incarnation string  `json:"incarnation"`
+	TeamID      string  `json:"team_id"`
+	Tokens      float64 `json:"tokens"`
+	// Settled lists grants of the team that are spent or given up.
+	Settled []uint64 `json:"settled,omitempty"`
+}
+
+// BorrowAnswer lends tokens that must be spent within Life after the call was
+// sent, or says when to ask again.
+type BorrowAnswer struct {
+	GrantID  uint64        `json:"grant_id,omitempty"`
+	Tokens   float64       `json:"tokens,omitempty"`
+	Life     time.Duration `json:"life,omitempty"`
+	RetryFor time.Duration `json:"retry_for,omitempty"`
+	// Unready is set while too few shares are pledged to lend any token.
+	Unready bool `json:"unready,omitempty"`
+}
+
+// TableCall asks for the peer's copy of the member table.
+type TableCall struct{}
+
+// TableAnswer carries the encoded table and its platform revision.
+type TableAnswer struct {
+	Revision int64  `json:"revision"`
+	Value    []byte `json:"value,omitempty"`
+}
+
+// Handler answers the calls of other VMs.
+type Handler interface {
+	Heartbeat(ctx context.Context, call Heartbeat) HeartbeatAnswer
+	Notes(ctx context.Context, call NotesCall) NotesAnswer
+	Pending(ctx context.Context, call PendingCall)
+	Evict(ctx context.Context, call EvictCall) EvictAnswer
+	Pledge(ctx context.Context, call PledgeCall) PledgeAnswer
+	Borrow(ctx context.Context, call BorrowCall) BorrowAnswer
+	Table(ctx context.Context, call TableCall) TableAnswer
+}
+
+// Empty is the answer of calls without one.
+type Empty struct{}
--- /dev/null
+++ b/vm/server.go
@@ -0,0 +1,100 @@
+package vm
+
+import (
+	"context"
+	"encoding/json"
+	"expvar"
+	"net"
+	"sync"
+
+	"github.com/sourcegraph/jsonrpc2"
+)
+
+// Server answers the calls of other VMs.
+type Server struct {
+	secret  []byte
+	handler Handler
+	metrics *expvar.Map
+	served  chan struct{}
+	running sync.WaitGroup
+}
+
+// NewServer returns a server; Run accepts connections.
+func NewServer(secret string, handler Handler, metrics *expvar.Map) *Server {
+	return &Server{secret: []byte(secret), handler: handler, metrics: metrics, served: make(chan struct{}, maxServed)}
+}
+
+// Run accepts connections until the context ends.
+func (s *Server) Run(ctx context.Context, listener net.Listener) {
+	defer s.running.Wait()
+	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
+	defer stop()
+	for {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		s.running.Go(func() { s.run(ctx, conn) })
+	}
+}
+
+// run serves one connection until it ends.
+func (s *Server) run(ctx context.Context, conn net.Conn) {
+	defer conn.Close()
+	if err := handshakeServer(conn, s.secret); err != nil {
+		s.metrics.Add("refused_connections", 1)
+		return
+	}
+	rpc := newConn(ctx, conn, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), s.metrics)
+	defer rpc.Close()
+	select {
+	case <-ctx.Done():
+	case <-rpc.DisconnectNotify():
+	}
+}
+
+// handle answers one call; calls beyond the bound are refused at once.
+func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	select {
+	case s.served <- struct{}{}:
+		defer func() { <-s.served }()
+	default:
+		s.metrics.Add("overloaded", 1)
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many calls are under way; try again"}
+	}
+	s.metrics.Add("served_"+req.Method, 1)
+	return Serve(ctx, s.handler, req.Method, req.Params)
+}
+
+// Serve decodes the parameters of one call and passes it to the handler.
+func Serve(ctx context.Context, handler Handler, method string, params *json.RawMessage) (any, error) {
+	if params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "the call has no parameters"}
+	}
+	switch method {
+	case methodHeartbeat:
+		return answer(*params, func(c Heartbeat) any { return handler.Heartbeat(ctx, c) })
+	case methodNotes:
+		return answer(*params, func(c NotesCall) any { return handler.Notes(ctx, c) })
+	case methodPending:
+		return answer(*params, func(c PendingCall) any { handler.Pending(ctx, c); return Empty{} })
+	case methodEvict:
+		return answer(*params, func(c EvictCall) any { return handler.Evict(ctx, c) })
+	case methodPledge:
+		return answer(*params, func(c PledgeCall) any { return handler.Pledge(ctx, c) })
+	case methodBorrow:
+		return answer(*params, func(c BorrowCall) any { return handler.Borrow(ctx, c) })
+	case methodTable:
+		return answer(*params, func(c TableCall) any { return handler.Table(ctx, c) })
+	}
+	// An older VM gets calls of a newer one during an upgrade.
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
+}
+
+func answer[C any](params []byte, handle func(C) any) (any, error) {
+	var call C
+	if err := json.Unmarshal(params, &call); err != nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
+	}
+	return handle(call), nil
+}
