Add bergamotctl and prove notes, keys, rates and cut-offs on nine VMs

bergamotctl: note check|submit|wait|show|history, key hash, status, timeline, metrics, member evict. Scripts with up to nine real VMs behind fault-injecting proxies. A key withdrawn through the only VM that reaches the platform is refused on the three that do not.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -204,7 +204,7 @@
 // serve answers callers and operators until the stop, and then drains.
 func (v *VM) serve(ctx, background context.Context, l listeners) error {
 	callerServer := v.caller.HTTPServer()
-	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.courier)), ReadHeaderTimeout: operatorHeaderTimeout}
+	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.courier), v.keeper), ReadHeaderTimeout: operatorHeaderTimeout}
 	servers, serversCtx := errgroup.WithContext(background)
 	servers.Go(func() error { return closed(operatorServer.Serve(l.operators)) })
 	servers.Go(func() error { return closed(callerServer.Serve(l.callers)) })
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -17,6 +17,7 @@
 	"github.com/rogpeppe/go-internal/testscript"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/ctl"
 	"github.com/bergamotgrade/bergamotgrade/daemon"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/release"
@@ -31,6 +32,12 @@
 				os.Exit(1)
 			}
 		},
+		"bergamotctl": func() {
+			if err := ctl.NewCommand().ExecuteContext(context.Background()); err != nil {
+				fmt.Fprintln(os.Stderr, "bergamotctl:", err)
+				os.Exit(ctl.ExitCode(err))
+			}
+		},
 		"standin": func() {
 			if err := standin.NewCommand().ExecuteContext(context.Background()); err != nil {
 				os.Exit(1)
@@ -51,6 +58,8 @@
 	// direct holds the address of each process behind its proxies.
 	direct map[string]string
 	jobs   map[string]*job
+	// inner holds the inner addresses of the VMs so far.
+	inner  []string
 	number int64
 	port   int
 }
@@ -220,12 +229,15 @@
 	caller, operator, inner := f.nextAddress(), f.nextAddress(), f.nextAddress()
 	f.direct[name] = caller
 	f.direct[name+"-inner"] = inner
+	f.ts.Setenv(strings.ToUpper(name), operator)
 	f.direct[name+"-operator"] = operator
 	f.proxy(name, caller)
+	innerProxy := f.proxy(name+"-inner", inner)
+	f.inner = append(f.inner, innerProxy)
 	args := []string{
 		"bergamotd", "serve", "--vm-id", name, "--data-centre", fmt.Sprintf("dc%d", (number-1)%s.dataCentres+1),
 		"--caller-address", caller, "--operator-address", operator, "--inner-address", inner,
-		"--advertise-inner-address", f.proxy(name+"-inner", inner),
+		"--advertise-inner-address", innerProxy, "--peer-addresses", strings.Join(f.inner, ","),
 		"--platform-address", f.proxy(name+"-platform", platformAddress),
 		"--first-token-timeout", "2s", "--token-gap-timeout", "700ms", "--drain-notice", "300ms", "--drain-quiet", "200ms", "--lease-term", "3s",
 	}
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -18,6 +19,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/standin"
 )
 
@@ -32,18 +34,22 @@
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
-			"fleet":   withFleet(cmdFleet),
-			"request": withFleet(cmdRequest),
-			"answers": withFleet(cmdAnswers),
-			"running": withFleet(cmdRunning),
-			"raw":     withFleet(cmdRaw),
-			"signal":  withFleet(cmdSignal),
-			"link":    withFleet(cmdLink),
-			"fault":   withFleet(cmdFault),
-			"ledger":  withFleet(cmdLedger),
-			"fetch":   withFleet(cmdFetch),
-			"note":    withFleet(cmdNote),
-			"sleep":   cmdSleep,
+			"fleet":    withFleet(cmdFleet),
+			"request":  withFleet(cmdRequest),
+			"answers":  withFleet(cmdAnswers),
+			"running":  withFleet(cmdRunning),
+			"raw":      withFleet(cmdRaw),
+			"signal":   withFleet(cmdSignal),
+			"link":     withFleet(cmdLink),
+			"fault":    withFleet(cmdFault),
+			"ledger":   withFleet(cmdLedger),
+			"fetch":    withFleet(cmdFetch),
+			"note":     withFleet(cmdNote),
+			"sleep":    cmdSleep,
+			"restart":  withFleet(cmdRestart),
+			"settled":  withFleet(cmdSettled),
+			"load":     withFleet(cmdLoad),
+			"revision": withFleet(cmdRevision),
 		},
 		RequireUniqueNames: true,
 		UpdateScripts:      os.Getenv("BERGAMOT_UPDATE_GOLDEN") != "",
@@ -257,6 +263,34 @@
 	ts.Check(p.command.Process.Signal(signals[args[1]]))
 }
 
+// cmdRestart starts a process that has ended with the same arguments, and
+// further ones, and waits until it serves operators.
+func cmdRestart(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	old := f.processes[args[0]]
+	<-old.done
+	f.start(args[0], io.Discard, append(old.args, args[1:]...)...)
+	f.waitReachable(args[0])
+}
+
+// cmdRevision waits until the VM has a revision in force.
+func cmdRevision(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	f.poll(args[0]+" has revision "+args[1], func() bool {
+		status, err := operator.NewClient(f.direct[args[0]+"-operator"]).Status(context.Background())
+		return err == nil && strconv.FormatInt(status.Revision, 10) == args[1]
+	})
+	f.waitReady(args[0])
+}
+
+// cmdSettled waits until the VMs are ready and have settled rates.
+func cmdSettled(ts *testscript.TestScript, _ bool, args []string) {
+	for _, name := range args {
+		fleetOf(ts).waitReady(name)
+		fleetOf(ts).waitSettled(name)
+	}
+}
+
 // cmdLink sets a fault on the proxy of a link.
 func cmdLink(ts *testscript.TestScript, _ bool, args []string) {
 	p := fleetOf(ts).proxies[args[0]]
@@ -267,7 +301,7 @@
 		p.Silence(true, true)
 	case "silence-to-client":
 		p.Silence(false, true)
-	case "refuse":
+	case "close":
 		p.Close()
 	case "swallow":
 		p.SetSwallow(true)
--- a/member/keeper_table.go
+++ b/member/keeper_table.go
@@ -221,6 +221,23 @@
 	k.ring.Record(timeline.KindEpoch, "", gone.VMID, "evicted "+gone.Incarnation)
 }
 
+// ForceEvict takes a VM out of the table on the word of an operator who knows
+// that it is gone, without asking the members.
+func (k *Keeper) ForceEvict(ctx context.Context, vmID, incarnation string) error {
+	m, ok := k.Table().Member(incarnation)
+	if !ok || m.VMID != vmID {
+		return bergamotgrade.NewError(bergamotgrade.KindInvalidRequest, "no such member", "list the members with `bergamotctl status`")
+	}
+	if k.Reachable(incarnation) {
+		return bergamotgrade.NewError(bergamotgrade.KindConflict, "the VM answers heartbeats", "stop it first")
+	}
+	k.evict(ctx, m)
+	if _, still := k.Table().Member(incarnation); still {
+		return bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the member table could not be changed", "try again when the platform answers")
+	}
+	return nil
+}
+
 // Evict answers another member's question whether a VM is gone.
 func (k *Keeper) Evict(call vm.EvictCall) vm.EvictAnswer {
 	k.mu.Lock()
--- /dev/null
+++ b/operator/client.go
@@ -0,0 +1,121 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/release"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
+)
+
+const (
+	// clientTimeout bounds one call of a client.
+	clientTimeout = 25 * time.Second
+	// maxAnswerBytes bounds one answer that a client reads.
+	maxAnswerBytes = 256 << 20
+)
+
+// Client calls the operators' interface of one VM.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+// NewClient returns a client of the VM at the address (host:port).
+func NewClient(address string) *Client {
+	return &Client{address: address, http: &http.Client{Timeout: clientTimeout}}
+}
+
+// Status returns how the VM stands.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var status Status
+	return status, c.call(ctx, http.MethodGet, "/status", nil, &status)
+}
+
+// Check makes a dry run of the note.
+func (c *Client) Check(ctx context.Context, note release.Note) (CheckAnswer, error) {
+	var answer CheckAnswer
+	return answer, c.call(ctx, http.MethodPost, "/notes/check", note, &answer)
+}
+
+// Submit submits the note.
+func (c *Client) Submit(ctx context.Context, note release.Note) (SubmitAnswer, error) {
+	var answer SubmitAnswer
+	return answer, c.call(ctx, http.MethodPost, "/notes", note, &answer)
+}
+
+// History returns the accepted notes above the revision.
+func (c *Client) History(ctx context.Context, above int64) ([]release.AcceptedNote, error) {
+	var notes []release.AcceptedNote
+	return notes, c.call(ctx, http.MethodGet, "/notes?above="+strconv.FormatInt(above, 10), nil, &notes)
+}
+
+// Config returns the whole configuration in force on the VM.
+func (c *Client) Config(ctx context.Context) (release.Records, error) {
+	var records release.Records
+	return records, c.call(ctx, http.MethodGet, "/config", nil, &records)
+}
+
+// Evict takes a VM that is known to be gone out of the member table.
+func (c *Client) Evict(ctx context.Context, vmID, incarnation string) error {
+	return c.call(ctx, http.MethodPost, "/members/evict", EvictRequest{VMID: vmID, Incarnation: incarnation}, nil)
+}
+
+// Metrics returns the VM's expvar page.
+func (c *Client) Metrics(ctx context.Context) (json.RawMessage, error) {
+	var page json.RawMessage
+	return page, c.call(ctx, http.MethodGet, "/debug/vars", nil, &page)
+}
+
+// Timeline returns the VM's events with this process's clock around the call.
+func (c *Client) Timeline(ctx context.Context) (timeline.Source, error) {
+	source := timeline.Source{AskedAt: time.Now()}
+	err := c.call(ctx, http.MethodGet, "/timeline", nil, &source.Page)
+	source.AnsweredAt = time.Now()
+	return source, err
+}
+
+func (c *Client) call(ctx context.Context, method, path string, body, answer any) error {
+	var reader io.Reader
+	if body != nil {
+		data, err := json.Marshal(body)
+		if err != nil {
+			return err
+		}
+		reader = bytes.NewReader(data)
+	}
+	target := url.URL{Scheme: "http", Host: c.address}
+	req, err := http.NewRequestWithContext(ctx, method, target.String()+path, reader)
+	if err != nil {
+		return err
+	}
+	res, err := c.http.Do(req)
+	if err != nil {
+		return bergamotgrade.NewError(bergamotgrade.KindNotReady, "the VM at "+c.address+" does not answer", "name another VM with --vm").WithCause(err)
+	}
+	defer res.Body.Close()
+	limited := io.LimitReader(res.Body, maxAnswerBytes)
+	if res.StatusCode != http.StatusOK {
+		return decodeError(res.Status, limited)
+	}
+	if answer == nil {
+		return nil
+	}
+	return json.NewDecoder(limited).Decode(answer)
+}
+
+func decodeError(status string, r io.Reader) error {
+	var answer ErrorAnswer
+	if json.NewDecoder(r).Decode(&answer) != nil || answer.Kind == "" {
+		return fmt.Errorf("the VM answered %s", status)
+	}
+	return bergamotgrade.NewError(answer.Kind, answer.Message, answer.Remedy)
+}
--- a/operator/server.go
+++ b/operator/server.go
@@ -2,6 +2,7 @@
 package operator
 
 import (
+	"context"
 	"encoding/json"
 	"expvar"
 	"net/http"
@@ -38,8 +39,19 @@
 	HeardAgoMilliseconds int64 `json:"heard_ago_milliseconds"`
 }
 
+// EvictRequest names a VM that is known to be gone.
+type EvictRequest struct {
+	VMID        string `json:"vm_id"`
+	Incarnation string `json:"incarnation"`
+}
+
+// Evictor takes a VM out of the member table on an operator's word.
+type Evictor interface {
+	ForceEvict(ctx context.Context, vmID, incarnation string) error
+}
+
 // Handler returns the operators' interface of a VM.
-func Handler(status func() Status, ring *timeline.Ring, notes *NoteHandler) http.Handler {
+func Handler(status func() Status, ring *timeline.Ring, notes *NoteHandler, evictor Evictor) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.Handle("GET /timeline", ring)
@@ -56,6 +68,18 @@
 	mux.HandleFunc("GET /status", func(w http.ResponseWriter, _ *http.Request) {
 		writeJSON(w, http.StatusOK, status())
 	})
+	mux.HandleFunc("POST /members/evict", func(w http.ResponseWriter, req *http.Request) {
+		var wanted EvictRequest
+		if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, maxNoteBody)).Decode(&wanted); err != nil {
+			WriteError(w, bergamotgrade.NewError(bergamotgrade.KindInvalidRequest, "the request cannot be read", "send vm_id and incarnation").WithCause(err))
+			return
+		}
+		if err := evictor.ForceEvict(req.Context(), wanted.VMID, wanted.Incarnation); err != nil {
+			WriteError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, wanted)
+	})
 	notes.register(mux)
 	return mux
 }
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
 // EngineConfig sets the size and the speed of a model engine.
@@ -45,6 +46,7 @@
 type Engine struct {
 	config EngineConfig
 	ledger *Ledger
+	ring   *timeline.Ring
 	cache  *prefixCache
 	orders *orderBook
 	faults atomic.Pointer[EngineFaults]
@@ -67,6 +69,7 @@
 	e := &Engine{
 		config:    config,
 		ledger:    &Ledger{},
+		ring:      timeline.New(bergamotgrade.SystemClock{}, "engine"),
 		cache:     newPrefixCache(config.CacheBlocks),
 		orders:    newOrderBook(config.IgnoreFences),
 		slots:     make(chan struct{}, config.Slots),
@@ -108,6 +111,8 @@
 		_ = json.NewEncoder(w).Encode(e.report.Load())
 	case "/ledger":
 		e.ledger.ServeHTTP(w, req)
+	case "/timeline":
+		e.ring.ServeHTTP(w, req)
 	case "/orders":
 		e.orders.ServeHTTP(w, req)
 	case "/cache_hits":
@@ -194,7 +199,14 @@
 	}
 	defer e.releaseSlot()
 	g := &generation{engine: e, w: w, ctx: ctx, prompt: prompt, attemptID: entry.AttemptID, offset: offset, chat: req.URL.Path == "/v1/chat/completions"}
-	e.ledger.finish(entry, g.stream())
+	e.ring.Record(timeline.KindAccept, entry.RequestID, entry.AttemptID, "")
+	completed := g.stream()
+	kind := timeline.KindCancel
+	if completed {
+		kind = timeline.KindComplete
+	}
+	e.ring.Record(kind, entry.RequestID, entry.AttemptID, "")
+	e.ledger.finish(entry, completed)
 }
 
 func (e *Engine) acquireSlot(ctx context.Context) bool {
--- a/standin/platform_server.go
+++ b/standin/platform_server.go
@@ -10,6 +10,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
 // PlatformFaults are the faults of the platform's service that a test sets
@@ -25,12 +26,13 @@
 // PlatformServer serves a KeyValue over HTTP with faults.
 type PlatformServer struct {
 	keyValue *KeyValue
+	ring     *timeline.Ring
 	faults   atomic.Pointer[PlatformFaults]
 }
 
 // NewPlatformServer returns a server without faults.
 func NewPlatformServer(keyValue *KeyValue) *PlatformServer {
-	s := &PlatformServer{keyValue: keyValue}
+	s := &PlatformServer{keyValue: keyValue, ring: timeline.New(bergamotgrade.SystemClock{}, "platform")}
 	s.faults.Store(&PlatformFaults{})
 	return s
 }
@@ -44,6 +46,10 @@
 		}
 		return
 	}
+	if req.URL.Path == "/timeline" {
+		s.ring.ServeHTTP(w, req)
+		return
+	}
 	faults := s.faults.Load()
 	time.Sleep(faults.Delay)
 	if faults.Down {
@@ -56,6 +62,7 @@
 		return
 	}
 	method := platform.Method(strings.TrimPrefix(req.URL.Path, "/v1/kv/"))
+	s.ring.Record(timeline.KindCall, "", string(method), call.Key)
 	answer, err := s.answer(req.Context(), method, call)
 	if bergamotgrade.IsKind(err, bergamotgrade.KindConflict) {
 		answer.Conflict = true
--- a/standin/service.go
+++ b/standin/service.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
 // ServiceFaults are the faults that a test sets with PUT /faults.
@@ -22,13 +23,13 @@
 // Service is a plain service that echoes its requests and counts them.
 type Service struct {
 	ledger *Ledger
-	runs   atomic.Int64
+	ring   *timeline.Ring
 	faults atomic.Pointer[ServiceFaults]
 }
 
 // NewService returns a service without faults.
 func NewService() *Service {
-	s := &Service{ledger: &Ledger{}}
+	s := &Service{ledger: &Ledger{}, ring: timeline.New(bergamotgrade.SystemClock{}, "service")}
 	s.faults.Store(&ServiceFaults{})
 	return s
 }
@@ -46,6 +47,9 @@
 	case "/load":
 		_ = json.NewEncoder(w).Encode(bergamotgrade.LoadReport{Slots: 1, MeasuredAt: time.Now()})
 		return
+	case "/timeline":
+		s.ring.ServeHTTP(w, req)
+		return
 	case "/ledger":
 		s.ledger.ServeHTTP(w, req)
 		return
@@ -61,7 +65,7 @@
 		return
 	}
 	entry := s.ledger.add(req, body, 0)
-	s.runs.Add(1)
+	s.ring.Record(timeline.KindAccept, entry.RequestID, entry.AttemptID, "")
 	faults := s.faults.Load()
 	time.Sleep(faults.Delay)
 	s.ledger.finish(entry, true)
