Give engines orders through one fenced order-giver each

Orders follow the configuration: loads within the weight store's rate, unloads once no VM uses the model. The fencing number is the platform revision of the engine's holder entry; a holder acts only while its platform lease holds by its own clock and is displaced only after its eviction.

--- a/backend.go
+++ b/backend.go
@@ -69,6 +69,38 @@
 	MeasuredAt time.Time `json:"measured_at"`
 }
 
+// OrderKind names what an order tells an engine to do.
+type OrderKind string
+
+// The kinds of orders.
+const (
+	OrderLoad   OrderKind = "load"
+	OrderUnload OrderKind = "unload"
+)
+
+// EngineOrder tells an engine to load or unload a model version.
+type EngineOrder struct {
+	Kind    OrderKind `json:"kind"`
+	ModelID string    `json:"model_id"`
+	Version string    `json:"version,omitempty"`
+	// Fence rises with each order-giver of the engine.
+	Fence int64 `json:"fence"`
+}
+
+// EngineState is what an engine has loaded: versions by model.
+type EngineState struct {
+	Fence  int64             `json:"fence"`
+	Loaded map[string]string `json:"loaded"`
+}
+
+// EngineOrders gives orders to engines.
+type EngineOrders interface {
+	// EngineState reads what the engine has loaded.
+	EngineState(ctx context.Context, server BackendServer) (EngineState, error)
+	// Order gives one order; an old fence is KindConflict.
+	Order(ctx context.Context, server BackendServer, order EngineOrder) error
+}
+
 // Backend reaches backend servers.
 type Backend interface {
 	// Complete starts one attempt. An error is a DispatchError.
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -20,6 +20,7 @@
 	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/member"
 	"github.com/bergamotgrade/bergamotgrade/operator"
+	"github.com/bergamotgrade/bergamotgrade/orders"
 	"github.com/bergamotgrade/bergamotgrade/platform"
 	"github.com/bergamotgrade/bergamotgrade/rate"
 	"github.com/bergamotgrade/bergamotgrade/release"
@@ -39,6 +40,7 @@
 	courier  *courier
 	keeper   *member.Keeper
 	limiter  *rate.Limiter
+	giver    *orders.Giver
 	inner    *vm.Server
 	fleet    *dispatch.Fleet
 	backend  *backend.Client
@@ -69,6 +71,17 @@
 	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, v.courier.hear)
 	v.courier.keeper = v.keeper
 	v.limiter = rate.New(rate.Config{SlotCount: settings.SlotCount, Patient: settings.RateMode == RateModePledge}, clock, v.keeper, peers, v.follower.State, metricMap("rate"))
+	v.giver = orders.New(orders.Dependencies{
+		Clock:    clock,
+		Platform: service,
+		Members:  v.keeper,
+		Engines:  client,
+		Peers:    peers,
+		Limiter:  v.limiter,
+		State:    v.follower.State,
+		InUse:    v.fleet.InUse,
+		Ring:     ring,
+	})
 	v.inner = vm.NewServer(settings.InnerSecret, inner{v}, metricMap("inner"))
 	var err error
 	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
@@ -173,6 +186,7 @@
 	parts.start(background, v.courier.run)
 	parts.start(background, v.keeper.Run)
 	parts.start(background, v.limiter.Run)
+	parts.start(background, v.giver.Run)
 	parts.start(background, v.fleet.Run)
 	parts.start(background, v.backend.Run)
 	parts.start(background, func(ctx context.Context) { v.inner.Run(ctx, listeners.inner) })
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -162,6 +162,7 @@
 	if t.delivered > 0 {
 		r.fleet.ring.Record(timeline.KindResume, r.requestID, place.server.BackendServerID, fmt.Sprintf("from token %d", t.delivered))
 	}
+	defer r.fleet.uses.begin(use{place.server.BackendServerID, ask.Model.ModelID})()
 	stream, err := r.fleet.backend.Complete(ctx, place.server, completion)
 	if err != nil {
 		return err
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -22,6 +22,7 @@
 	policy  route.Policy
 	budget  *retryBudget
 	retries atomic.Int64
+	uses    useCount
 
 	mu          sync.Mutex
 	vms         int
@@ -30,7 +31,7 @@
 
 // New returns a fleet without servers; SetState brings them.
 func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy) *Fleet {
-	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, budget: newRetryBudget(), vms: 1, dispatchers: map[string]*Dispatcher{}}
+	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, budget: newRetryBudget(), vms: 1, dispatchers: map[string]*Dispatcher{}, uses: useCount{counts: map[use]int{}}}
 }
 
 // modelPool names the pool of a model; an adapter shares its base model's.
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/standin"
 )
@@ -46,6 +47,10 @@
 			"fetch":    withFleet(cmdFetch),
 			"note":     withFleet(cmdNote),
 			"sleep":    cmdSleep,
+			"orders":   withFleet(cmdOrders),
+			"loaded":   withFleet(cmdLoaded),
+			"client":   withFleet(cmdClient),
+			"http2":    withFleet(cmdHTTP2),
 			"restart":  withFleet(cmdRestart),
 			"settled":  withFleet(cmdSettled),
 			"load":     withFleet(cmdLoad),
@@ -283,6 +288,37 @@
 	f.waitReady(args[0])
 }
 
+// loadedOn returns what an engine has loaded, as model=version words.
+func (f *fleet) loadedOn(engine string) string {
+	res, err := http.Get("http://" + f.direct[engine] + "/orders")
+	f.ts.Check(err)
+	defer res.Body.Close()
+	var state bergamotgrade.EngineState
+	f.ts.Check(json.NewDecoder(res.Body).Decode(&state))
+	var words []string
+	for model, version := range state.Loaded {
+		words = append(words, model+"="+version)
+	}
+	sort.Strings(words)
+	if len(words) == 0 {
+		return "none"
+	}
+	return strings.Join(words, " ")
+}
+
+// cmdOrders waits until an engine has loaded what the script says.
+func cmdOrders(ts *testscript.TestScript, _ bool, args []string) {
+	f := fleetOf(ts)
+	f.poll(args[0]+" has loaded "+args[1], func() bool { return f.loadedOn(args[0]) == strings.Join(args[1:], " ") })
+}
+
+// cmdLoaded prints what engines have loaded.
+func cmdLoaded(ts *testscript.TestScript, _ bool, args []string) {
+	for _, engine := range args {
+		_, _ = fmt.Fprintln(ts.Stdout(), engine, fleetOf(ts).loadedOn(engine))
+	}
+}
+
 // cmdSettled waits until the VMs are ready and have settled rates.
 func cmdSettled(ts *testscript.TestScript, _ bool, args []string) {
 	for _, name := range args {
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -104,6 +104,13 @@
 	return k.contact.Holds(k.clock.Now(), k.table)
 }
 
+// LeaseHolds reports whether the platform lease holds by this VM's own clock.
+func (k *Keeper) LeaseHolds() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.contact.LeaseHolds(k.clock.Now())
+}
+
 // Slots returns the number of standing shares that this VM may use.
 func (k *Keeper) Slots() int {
 	k.mu.Lock()
--- /dev/null
+++ b/route/pool_test.go
@@ -0,0 +1,109 @@
+package route
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// TestPoolScripts runs each file of testdata: one step a line, with the
+// expected outcome behind "->".
+func TestPoolScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	qt.Assert(t, err, qt.IsNil)
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) {
+			data, err := os.ReadFile(file)
+			qt.Assert(t, err, qt.IsNil)
+			s := &poolScript{now: time.Unix(1000, 0)}
+			for number, line := range strings.Split(string(data), "\n") {
+				line, _, _ = strings.Cut(line, "#")
+				step, want, _ := strings.Cut(line, "->")
+				if fields := strings.Fields(step); len(fields) > 0 {
+					qt.Assert(t, s.step(fields), qt.Equals, strings.TrimSpace(want), qt.Commentf("line %d: %s", number+1, line))
+				}
+			}
+		})
+	}
+}
+
+// poolScript is the state of one script.
+type poolScript struct {
+	now  time.Time
+	pool *Pool
+}
+
+func (s *poolScript) step(f []string) string {
+	var n int
+	if len(f) > 2 {
+		_, _ = fmt.Sscan(f[2], &n)
+	}
+	switch f[0] {
+	case "policy":
+		s.pool = NewPool(Policy(f[1]), rand.New(rand.NewPCG(1, 2)))
+	case "vms":
+		_, _ = fmt.Sscan(f[1], &n)
+		s.pool.SetVMs(n)
+	case "servers": // id:slots[:leaving]
+		s.pool.SetServers(s.now, parseServers(f[1:]))
+	case "wait":
+		d, _ := time.ParseDuration(f[1])
+		s.now = s.now.Add(d)
+	case "report":
+		s.pool.Report(s.now, f[1], bergamotgrade.LoadReport{Running: n})
+	case "start":
+		for range max(1, n) {
+			s.pool.Start(f[1])
+		}
+	case "finish":
+		s.pool.Finish(s.now, f[1], OutcomeOK)
+	case "fail":
+		s.pool.Start(f[1])
+		return fmt.Sprintf("ejected=%t", s.pool.Finish(s.now, f[1], OutcomeFailed))
+	case "pick": // pick COUNT [prefix=N] [avoid=ID]: how often each server came
+		return s.pick(f[1:])
+	}
+	return ""
+}
+
+func parseServers(fields []string) []bergamotgrade.BackendServer {
+	var servers []bergamotgrade.BackendServer
+	for _, field := range fields {
+		parts := strings.Split(field, ":")
+		server := bergamotgrade.BackendServer{BackendServerID: parts[0], Leaving: len(parts) > 2}
+		_, _ = fmt.Sscan(parts[1], &server.Slots)
+		servers = append(servers, server)
+	}
+	return servers
+}
+
+func (s *poolScript) pick(f []string) string {
+	var count int
+	_, _ = fmt.Sscan(f[0], &count)
+	request := Request{Avoid: map[string]bool{}}
+	for _, field := range f[1:] {
+		name, value, _ := strings.Cut(field, "=")
+		if name == "prefix" {
+			_, _ = fmt.Sscan(value, &request.PrefixHash)
+		} else {
+			request.Avoid[value] = true
+		}
+	}
+	picked := map[string]int{}
+	for range count {
+		server, ok := s.pool.Pick(s.now, request)
+		if !ok {
+			server.BackendServerID = "none"
+		}
+		picked[server.BackendServerID]++
+	}
+	return strings.TrimPrefix(fmt.Sprint(picked), "map")
+}
--- a/vm/message.go
+++ b/vm/message.go
@@ -18,6 +18,7 @@
 	methodPledge    = "pledge"
 	methodBorrow    = "borrow"
 	methodTable     = "table"
+	methodInUse     = "in_use"
 )
 
 // Heartbeat tells a peer that a VM is alive and what it has in force.
@@ -127,6 +128,19 @@
 	Value    []byte `json:"value,omitempty"`
 }
 
+// InUseCall asks how many requests of a model the VM runs on a backend server.
+type InUseCall struct {
+	BackendServerID string `json:"backend_server_id"`
+	ModelID         string `json:"model_id"`
+}
+
+// InUseAnswer is the number of requests and the configuration that the VM has
+// in force; a VM with an older one may still start more.
+type InUseAnswer struct {
+	Requests int   `json:"requests"`
+	Revision int64 `json:"revision"`
+}
+
 // Handler answers the calls of other VMs.
 type Handler interface {
 	Heartbeat(ctx context.Context, call Heartbeat) HeartbeatAnswer
@@ -136,6 +150,7 @@
 	Pledge(ctx context.Context, call PledgeCall) PledgeAnswer
 	Borrow(ctx context.Context, call BorrowCall) BorrowAnswer
 	Table(ctx context.Context, call TableCall) TableAnswer
+	InUse(ctx context.Context, call InUseCall) InUseAnswer
 }
 
 // Empty is the answer of calls without one.
--- a/vm/peers.go
+++ b/vm/peers.go
@@ -72,6 +72,11 @@
 	return callPeer[TableAnswer](ctx, p, address, methodTable, TableCall{})
 }
 
+// InUse asks the peer for its requests of a model on a backend server.
+func (p *Peers) InUse(ctx context.Context, address string, call InUseCall) (InUseAnswer, error) {
+	return callPeer[InUseAnswer](ctx, p, address, methodInUse, call)
+}
+
 func (p *Peers) peer(address string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/vm/server.go
+++ b/vm/server.go
@@ -86,6 +86,8 @@
 		return answer(*params, func(c BorrowCall) any { return handler.Borrow(ctx, c) })
 	case methodTable:
 		return answer(*params, func(c TableCall) any { return handler.Table(ctx, c) })
+	case methodInUse:
+		return answer(*params, func(c InUseCall) any { return handler.InUse(ctx, c) })
 	}
 	// An older VM gets calls of a newer one during an upgrade.
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
