--- /dev/null
+++ b/batch/item.go
@@ -0,0 +1,83 @@
+// Package batch accepts jobs of many items, completes each item once and keeps
+// the results readable.
+package batch
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strings"
+)
+
+// Item is one line of an input file.
+type Item struct {
+	CustomID string          `json:"custom_id"`
+	Method   string          `json:"method"`
+	URL      string          `json:"url"`
+	Body     json.RawMessage `json:"body"`
+}
+
+// IsCompletion reports whether the item goes to a model.
+func (i Item) IsCompletion() bool {
+	return i.URL == "/v1/chat/completions" || i.URL == "/v1/completions"
+}
+
+// Result is one line of an output or error file.
+type Result struct {
+	ID       string          `json:"id"`
+	CustomID string          `json:"custom_id"`
+	Response *ResultResponse `json:"response"`
+	Error    *ResultError    `json:"error"`
+}
+
+// ResultResponse is the answer of a completed item.
+type ResultResponse struct {
+	StatusCode int             `json:"status_code"`
+	RequestID  string          `json:"request_id"`
+	Body       json.RawMessage `json:"body"`
+}
+
+// ResultError says why an item has no answer.
+type ResultError struct {
+	Code    string `json:"code"`
+	Message string `json:"message"`
+}
+
+// LineFault is one bad line of an input file.
+type LineFault struct {
+	Line    int    `json:"line"`
+	Message string `json:"message"`
+}
+
+// ItemChecker decides whether an item can be dispatched at all; the returned
+// text says why not.
+type ItemChecker func(Item) string
+
+// DecodeItem reads one line.
+func DecodeItem(line []byte) (Item, error) {
+	var item Item
+	decoder := json.NewDecoder(bytes.NewReader(line))
+	if err := decoder.Decode(&item); err != nil {
+		return item, fmt.Errorf("no JSON object with custom_id, method, url and body: %w", err)
+	}
+	switch {
+	case item.CustomID == "":
+		return item, fmt.Errorf("custom_id is missing")
+	case item.Method == "":
+		return item, fmt.Errorf("method is missing")
+	case !item.IsCompletion() && !strings.HasPrefix(item.URL, "/v1/services/"):
+		return item, fmt.Errorf("url %q is neither a completion path nor below /v1/services/", item.URL)
+	}
+	return item, nil
+}
+
+// splitLines returns the non-empty lines of a segment.
+func splitLines(data []byte) [][]byte {
+	var lines [][]byte
+	for _, line := range bytes.Split(data, []byte("\n")) {
+		if line = bytes.TrimSpace(line); len(line) > 0 {
+			lines = append(lines, line)
+		}
+	}
+	return lines
+}
--- /dev/null
+++ b/batch/runner.go
@@ -0,0 +1,215 @@
+package batch
+
+import (
+	"context"
+	"expvar"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/member"
+	"github.com/bergamotgrade/bergamotgrade/timeline"
+)
+
+// Members tells a runner who is there; member.Keeper implements it.
+type Members interface {
+	Self() bergamotgrade.VMRecord
+	Table() member.Table
+	LeaseHolds() bool
+}
+
+// Executor runs single items.
+type Executor interface {
+	// Once reports whether the item must not be run twice.
+	Once(item Item) bool
+	// Execute runs an item to its result. It tries again by itself; an error
+	// means that the context ended first.
+	Execute(ctx context.Context, job Job, item Item) (Result, error)
+}
+
+// Runner runs the jobs whose partitions fall to this VM.
+type Runner struct {
+	clock      bergamotgrade.Clock
+	repository *Repository
+	members    Members
+	executor   Executor
+	ring       *timeline.Ring
+	metrics    *expvar.Map
+	items      *semaphore.Weighted
+	nudged     chan struct{}
+
+	mu       sync.Mutex
+	running  map[string]context.CancelCauseFunc
+	stopping bool
+	jobs     sync.WaitGroup
+}
+
+// NewRunner returns a runner; Run starts it.
+func NewRunner(clock bergamotgrade.Clock, repository *Repository, members Members, executor Executor, ring *timeline.Ring, metrics *expvar.Map) *Runner {
+	return &Runner{
+		clock: clock, repository: repository, members: members, executor: executor, ring: ring, metrics: metrics,
+		items: semaphore.NewWeighted(itemsAtOnce), nudged: make(chan struct{}, 1), running: map[string]context.CancelCauseFunc{},
+	}
+}
+
+// errJobCancelled is the cause by which a cancelled job's items end.
+var errJobCancelled = bergamotgrade.NewError(bergamotgrade.KindConflict, "the batch was cancelled", "submit the item again if it is still wanted")
+
+// Run looks for open jobs until the context ends.
+func (r *Runner) Run(ctx context.Context) {
+	ticker := time.NewTicker(lookInterval)
+	defer ticker.Stop()
+	defer r.jobs.Wait()
+	for {
+		r.look(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.nudged:
+		case <-ticker.C:
+		}
+	}
+}
+
+// JobChanged takes the news of an accepted or cancelled job.
+func (r *Runner) JobChanged(jobID string, cancelled bool) {
+	if cancelled {
+		r.mu.Lock()
+		if cancel, ok := r.running[jobID]; ok {
+			cancel(errJobCancelled)
+		}
+		r.mu.Unlock()
+		return
+	}
+	select {
+	case r.nudged <- struct{}{}:
+	default:
+	}
+}
+
+// errStopping is the cause by which work ends that a planned stop cannot wait
+// for.
+var errStopping = bergamotgrade.NewError(bergamotgrade.KindNotReady, "the VM stops", "another VM takes the range over")
+
+// Stop ends the work at the next commit of each range and hands the ranges over.
+// Work that the context does not allow to finish is left to the next owner.
+func (r *Runner) Stop(ctx context.Context) {
+	r.mu.Lock()
+	r.stopping = true
+	r.mu.Unlock()
+	stop := context.AfterFunc(ctx, func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, cancel := range r.running {
+			cancel(errStopping)
+		}
+	})
+	defer stop()
+	r.jobs.Wait()
+}
+
+func (r *Runner) isStopping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.stopping
+}
+
+// look starts the open jobs of this VM's partitions that do not run yet.
+func (r *Runner) look(ctx context.Context) {
+	for partition := range partitionCount {
+		if !r.isMine(partition) || r.isStopping() || !r.members.LeaseHolds() {
+			continue
+		}
+		ids, err := r.repository.OpenJobs(ctx, partition)
+		if err != nil {
+			return
+		}
+		for _, id := range ids {
+			r.start(ctx, id)
+		}
+	}
+}
+
+// isMine reports whether rendezvous hashing gives the partition to this VM.
+func (r *Runner) isMine(partition int) bool {
+	best, bestScore := "", uint64(0)
+	for _, m := range r.members.Table().Members {
+		if m.Leaving {
+			continue
+		}
+		if score := xxhash.Sum64String(m.VMID + "/batch/" + strconv.Itoa(partition)); score >= bestScore {
+			best, bestScore = m.Incarnation, score
+		}
+	}
+	return best == r.members.Self().Incarnation
+}
+
+func (r *Runner) start(ctx context.Context, jobID string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.running[jobID]; ok || r.stopping {
+		return
+	}
+	jobCtx, cancel := context.WithCancelCause(ctx)
+	r.running[jobID] = cancel
+	r.jobs.Go(func() {
+		defer cancel(nil)
+		r.runJob(jobCtx, jobID)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.running, jobID)
+	})
+}
+
+// runJob works on the ranges of a job, several at a time, and ends the job once
+// all are done.
+func (r *Runner) runJob(ctx context.Context, jobID string) {
+	job, _, err := r.repository.Job(ctx, "", jobID)
+	if err != nil {
+		return
+	}
+	if job.Status != JobInProgress {
+		r.repository.Close(ctx, jobID)
+		return
+	}
+	file, err := r.repository.File(ctx, job.TeamID, job.FileID)
+	if err != nil {
+		return
+	}
+	var ranges errgroup.Group
+	ranges.SetLimit(rangesAtOnce)
+	for index := range job.Ranges() {
+		ranges.Go(func() error {
+			work := &rangeWork{runner: r, job: job, file: file, index: index}
+			work.run(ctx)
+			return nil
+		})
+	}
+	_ = ranges.Wait()
+	r.finish(context.WithoutCancel(ctx), job)
+}
+
+// finish ends a job whose ranges are all done.
+func (r *Runner) finish(ctx context.Context, job Job) {
+	ranges, err := r.repository.Ranges(ctx, job)
+	if err != nil {
+		return
+	}
+	for _, progress := range ranges {
+		if !progress.Done() {
+			return
+		}
+	}
+	ended, err := r.repository.end(ctx, "", job.JobID, JobCompleted)
+	if err != nil || ended.Status == JobInProgress {
+		return
+	}
+	r.repository.Close(ctx, job.JobID)
+	r.metrics.Add("jobs_ended", 1)
+	r.ring.Record(timeline.KindStateChange, job.JobID, job.TeamID, string(ended.Status))
+}
--- a/caller/answer.go
+++ b/caller/answer.go
@@ -19,11 +19,17 @@
 	Usage   json.RawMessage `json:"usage,omitempty"`
 }
 
-func newAnswerWriter(x *exchange, request completionRequest, chat bool, now time.Time) answerWriter {
-	frame := envelope{ID: "cmpl-" + x.requestID, Object: "text_completion", Created: now.Unix(), Model: request.Model}
+// newEnvelope returns the frame of a whole answer.
+func newEnvelope(requestID, model string, chat bool, now time.Time) envelope {
+	frame := envelope{ID: "cmpl-" + requestID, Object: "text_completion", Created: now.Unix(), Model: model}
 	if chat {
-		frame.ID, frame.Object = "chatcmpl-"+x.requestID, "chat.completion"
+		frame.ID, frame.Object = "chatcmpl-"+requestID, "chat.completion"
 	}
+	return frame
+}
+
+func newAnswerWriter(x *exchange, request completionRequest, chat bool, now time.Time) answerWriter {
+	frame := newEnvelope(x.requestID, request.Model, chat, now)
 	if !request.Stream {
 		return &wholeAnswer{x: x, frame: frame, chat: chat}
 	}
@@ -148,17 +154,26 @@
 }
 
 func (a *wholeAnswer) end() error {
+	frame, err := a.complete()
+	if err != nil {
+		return err
+	}
+	return writeJSON(a.x.w, frame)
+}
+
+// complete returns the whole answer.
+func (a *wholeAnswer) complete() (envelope, error) {
 	var choices any = []textChoice{{Text: a.text.String(), FinishReason: a.finish}}
 	if a.chat {
 		choices = []chatChoice{{Message: message{Role: "assistant", Content: a.text.String()}, FinishReason: a.finish}}
 	}
 	encoded, err := json.Marshal(choices)
 	if err != nil {
-		return err
+		return envelope{}, err
 	}
 	a.frame.Choices = encoded
 	a.frame.Usage = a.usage
-	return writeJSON(a.x.w, a.frame)
+	return a.frame, nil
 }
 
 func (a *wholeAnswer) fail(*bergamotgrade.Error) bool { return false }
--- /dev/null
+++ b/caller/executor.go
@@ -0,0 +1,225 @@
+package caller
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/batch"
+	"github.com/bergamotgrade/bergamotgrade/dispatch"
+	"github.com/bergamotgrade/bergamotgrade/queue"
+)
+
+const (
+	// itemTries bounds the failed tries of one batch item.
+	itemTries = 4
+	// itemTimeout bounds one try of a batch item, waiting included.
+	itemTimeout = 20 * time.Minute
+	// itemPause is the pause between two tries of a batch item.
+	itemPause = 250 * time.Millisecond
+)
+
+// Executor runs the items of batch jobs as callers' requests of the lowest
+// class; it implements batch.Executor.
+type Executor struct {
+	clock   bergamotgrade.Clock
+	source  StateSource
+	limiter bergamotgrade.Limiter
+	fleet   *dispatch.Fleet
+}
+
+var _ batch.Executor = (*Executor)(nil)
+
+// NewExecutor returns an executor with the server's dependencies.
+func NewExecutor(deps Dependencies) *Executor {
+	return &Executor{clock: deps.Clock, source: deps.Source, limiter: deps.Limiter, fleet: deps.Fleet}
+}
+
+// Check says why an item can never be dispatched, or nothing.
+func (e *Executor) Check(item batch.Item) string {
+	var err error
+	if item.IsCompletion() {
+		_, _, err = e.completion(item)
+	} else {
+		_, _, _, err = e.route(item)
+	}
+	if err == nil {
+		return ""
+	}
+	failure := bergamotgrade.AsError(err)
+	return failure.Message() + "; " + failure.Remedy()
+}
+
+// Once implements batch.Executor. An item whose route is unknown is treated with
+// care.
+func (e *Executor) Once(item batch.Item) bool {
+	if item.IsCompletion() {
+		return false
+	}
+	_, _, route, err := e.route(item)
+	return err != nil || !route.Idempotent
+}
+
+func (e *Executor) completion(item batch.Item) (completionRequest, bergamotgrade.Model, error) {
+	request, err := decodeCompletion(item.Body, item.URL == chatPath)
+	if err != nil {
+		return request, bergamotgrade.Model{}, err
+	}
+	model, ok := e.source.State().Model(request.Model)
+	if !ok {
+		return request, model, unknownModel(request.Model)
+	}
+	return request, model, nil
+}
+
+func (e *Executor) route(item batch.Item) (serviceID, servicePath string, route bergamotgrade.Route, err error) {
+	name, rest, _ := strings.Cut(strings.TrimPrefix(item.URL, "/v1/services/"), "/")
+	route, servicePath, err = findRoute(e.source.State(), name, item.Method, rest)
+	return name, servicePath, route, err
+}
+
+// Execute implements batch.Executor.
+func (e *Executor) Execute(ctx context.Context, job batch.Job, item batch.Item) (batch.Result, error) {
+	failures := 0
+	for {
+		result, err := e.try(ctx, job, item)
+		if err == nil {
+			return result, nil
+		}
+		if ctx.Err() != nil && !e.Once(item) {
+			return batch.Result{}, context.Cause(ctx)
+		}
+		failure := bergamotgrade.AsError(err)
+		if !waits(failure.Kind()) {
+			failures++
+		}
+		if failures >= itemTries || !e.repeatable(item, failure) {
+			return batch.Result{Error: &batch.ResultError{Code: string(failure.Kind()), Message: failure.Message() + "; " + failure.Remedy()}}, nil
+		}
+		timer := time.NewTimer(itemPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return batch.Result{}, context.Cause(ctx)
+		case <-timer.C:
+		}
+	}
+}
+
+// waits reports whether the failure says nothing of the item: it is tried again
+// without a bound.
+func waits(kind bergamotgrade.ErrorKind) bool {
+	switch kind {
+	case bergamotgrade.KindOverloaded, bergamotgrade.KindNotReady, bergamotgrade.KindRateExceeded, bergamotgrade.KindNoBackendServer:
+		return true
+	}
+	return false
+}
+
+// repeatable reports whether another try may be made.
+func (e *Executor) repeatable(item batch.Item, failure *bergamotgrade.Error) bool {
+	switch failure.Kind() {
+	case bergamotgrade.KindInvalidRequest, bergamotgrade.KindModelUnknown, bergamotgrade.KindRouteUnknown, bergamotgrade.KindKeyUnknown, bergamotgrade.KindOutcomeUnknown:
+		return false
+	}
+	return failure.NotRun() || !e.Once(item)
+}
+
+func (e *Executor) try(ctx context.Context, job batch.Job, item batch.Item) (batch.Result, error) {
+	team, ok := e.source.State().Team(job.TeamID)
+	if !ok {
+		return batch.Result{}, bergamotgrade.NewError(bergamotgrade.KindKeyUnknown, "the batch's team was withdrawn", "ask your operator")
+	}
+	if err := e.limiter.AdmitBatch(ctx, team); err != nil {
+		return batch.Result{}, bergamotgrade.AsError(err).WithNotRun()
+	}
+	// Jobs of a team share its weight; an urgent job weighs more.
+	weight := max(team.Weight, 1) * max(job.Weight, 1) * job.Urgency(e.clock.Now())
+	flow := bergamotgrade.Team{TeamID: team.TeamID + "/" + job.JobID, Weight: weight}
+	if item.IsCompletion() {
+		return e.complete(ctx, flow, item)
+	}
+	return e.call(ctx, flow, item)
+}
+
+func (e *Executor) complete(ctx context.Context, flow bergamotgrade.Team, item batch.Item) (batch.Result, error) {
+	request, model, err := e.completion(item)
+	if err != nil {
+		return batch.Result{}, err
+	}
+	body, err := engineBody(item.Body)
+	if err != nil {
+		return batch.Result{}, err
+	}
+	requestID := uuid.NewString()
+	chat := item.URL == chatPath
+	answer := &wholeAnswer{frame: newEnvelope(requestID, request.Model, chat, e.clock.Now()), chat: chat}
+	deadline := e.clock.Now().Add(itemTimeout)
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	err = e.fleet.Complete(ctx, dispatch.CompletionAsk{
+		RequestID:  requestID,
+		Team:       flow,
+		Model:      model,
+		Class:      queue.ClassBatch,
+		Path:       item.URL,
+		Body:       body,
+		Cost:       request.cost(),
+		PrefixHash: dispatch.PrefixHash(model.ModelID, request.prompt()),
+		Deadline:   deadline,
+	}, answer.chunk)
+	if err != nil {
+		return batch.Result{}, err
+	}
+	frame, err := answer.complete()
+	if err != nil {
+		return batch.Result{}, err
+	}
+	encoded, err := json.Marshal(frame)
+	return batch.Result{Response: &batch.ResultResponse{StatusCode: http.StatusOK, RequestID: requestID, Body: encoded}}, err
+}
+
+func (e *Executor) call(ctx context.Context, flow bergamotgrade.Team, item batch.Item) (batch.Result, error) {
+	serviceID, servicePath, route, err := e.route(item)
+	if err != nil {
+		return batch.Result{}, err
+	}
+	if !route.Idempotent {
+		// Its outcome has to be known, so it is finished even on a cancel.
+		if ctx.Err() != nil {
+			return batch.Result{}, bergamotgrade.AsError(context.Cause(ctx)).WithNotRun()
+		}
+		ctx = context.WithoutCancel(ctx)
+	}
+	requestID := uuid.NewString()
+	answer, err := e.fleet.Call(ctx, dispatch.ServiceAsk{
+		RequestID:  requestID,
+		Team:       flow,
+		ServiceID:  serviceID,
+		Class:      queue.ClassBatch,
+		Method:     item.Method,
+		Path:       servicePath,
+		Header:     http.Header{"Content-Type": {"application/json"}},
+		Body:       item.Body,
+		Idempotent: route.Idempotent,
+		Deadline:   e.clock.Now().Add(itemTimeout),
+	})
+	if err != nil {
+		return batch.Result{}, err
+	}
+	return batch.Result{Response: &batch.ResultResponse{StatusCode: answer.Status, RequestID: requestID, Body: asJSON(answer.Body)}}, nil
+}
+
+// asJSON returns the body as it is, or as a JSON string where it is no JSON.
+func asJSON(body []byte) json.RawMessage {
+	if json.Valid(body) {
+		return body
+	}
+	text, _ := json.Marshal(string(body))
+	return text
+}
--- a/caller/server.go
+++ b/caller/server.go
@@ -16,6 +16,7 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/batch"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/idempotency"
 	"github.com/bergamotgrade/bergamotgrade/release"
@@ -55,8 +56,13 @@
 	Limiter bergamotgrade.Limiter
 	Fleet   *dispatch.Fleet
 	Records *idempotency.Store
-	Ring    *timeline.Ring
-	Metrics *expvar.Map
+	Batches *batch.Repository
+	// Executor checks the items of input files; New sets it.
+	Executor *Executor
+	// Announce tells all VMs of an accepted or cancelled batch job.
+	Announce func(jobID string, cancelled bool)
+	Ring     *timeline.Ring
+	Metrics  *expvar.Map
 }
 
 // Server answers callers.
@@ -73,6 +79,7 @@
 
 // New returns a server; its routes are ready to serve.
 func New(config Config, deps Dependencies) (*Server, error) {
+	deps.Executor = NewExecutor(deps)
 	s := &Server{config: config, deps: deps, requests: newInFlight()}
 	app := iris.New()
 	app.Logger().SetLevel("disable")
@@ -83,6 +90,13 @@
 	app.Post("/v1/completions", s.serve(s.complete))
 	app.Any("/v1/services/{name}", s.serve(s.callService))
 	app.Any("/v1/services/{name}/{path:path}", s.serve(s.callService))
+	app.Post("/v1/files", s.serve(s.uploadFile))
+	app.Get("/v1/files/{id}", s.serve(s.showFile))
+	app.Get("/v1/files/{id}/content", s.serve(s.readFile))
+	app.Post("/v1/batches", s.serve(s.createBatch))
+	app.Get("/v1/batches", s.serve(s.listBatches))
+	app.Get("/v1/batches/{id}", s.serve(s.showBatch))
+	app.Post("/v1/batches/{id}/cancel", s.serve(s.cancelBatch))
 	app.OnAnyErrorCode(s.serve(s.unknownRoute))
 	if err := app.Build(); err != nil {
 		return nil, err
@@ -209,6 +223,9 @@
 	return json.NewEncoder(w).Encode(value)
 }
 
+// Executor returns what runs the items of batch jobs.
+func (s *Server) Executor() *Executor { return s.deps.Executor }
+
 // EnforceState ends the requests whose keys the state has withdrawn.
 func (s *Server) EnforceState(state *release.State) { s.requests.enforce(state) }
 
--- a/caller/service.go
+++ b/caller/service.go
@@ -11,6 +11,7 @@
 	"github.com/bergamotgrade/bergamotgrade/backend"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/queue"
+	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
@@ -94,14 +95,18 @@
 }
 
 func (s *Server) findRoute(x *exchange) (bergamotgrade.Route, string, error) {
-	name := x.params("name")
-	service, ok := s.deps.Source.State().Service(name)
+	return findRoute(s.deps.Source.State(), x.params("name"), x.req.Method, x.params("path"))
+}
+
+// findRoute returns the route of a plain service and the path below the service.
+func findRoute(state *release.State, name, method, rest string) (bergamotgrade.Route, string, error) {
+	service, ok := state.Service(name)
 	if !ok {
 		return bergamotgrade.Route{}, "", bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "service \""+name+"\" does not exist", "ask your operator for the names of the services").WithNotRun()
 	}
-	servicePath := path.Clean("/" + x.params("path"))
+	servicePath := path.Clean("/" + rest)
 	for _, route := range service.Routes {
-		if route.Method == x.req.Method && underPrefix(servicePath, route.PathPrefix) {
+		if route.Method == method && underPrefix(servicePath, route.PathPrefix) {
 			return route, servicePath, nil
 		}
 	}
--- a/config.go
+++ b/config.go
@@ -18,6 +18,10 @@
 	Burst float64 `json:"burst"`
 	// Weight is the team's share in a busy queue; zero counts as one.
 	Weight float64 `json:"weight,omitempty"`
+	// BatchRate and BatchBurst are a rate of their own for batch items; without
+	// them batch draws on the team's rate as its lowest-priority use.
+	BatchRate  float64 `json:"batch_rate,omitempty"`
+	BatchBurst float64 `json:"batch_burst,omitempty"`
 }
 
 // Key is a caller's credential, kept only as a hash.
@@ -82,6 +86,8 @@
 	InnerAddress    string `json:"inner_address"`
 	OperatorAddress string `json:"operator_address"`
 	Leaving         bool   `json:"leaving,omitempty"`
+	// HasDisk marks a VM with a data folder.
+	HasDisk bool `json:"has_disk,omitempty"`
 	// MachineID, BootID and ProcessID let a later process on the same machine
 	// find that this one has ended.
 	MachineID string    `json:"machine_id,omitempty"`
--- a/daemon/inner.go
+++ b/daemon/inner.go
@@ -63,6 +63,21 @@
 	return vm.InUseAnswer{Requests: i.vm.fleet.InUse(call.BackendServerID, call.ModelID), Revision: i.vm.follower.State().Revision()}
 }
 
+// JobChanged implements vm.Handler.
+func (i inner) JobChanged(_ context.Context, call vm.JobCall) {
+	i.vm.runner.JobChanged(call.JobID, call.Cancelled)
+}
+
+// PutSegment implements vm.Handler.
+func (i inner) PutSegment(_ context.Context, call vm.SegmentCall) vm.SegmentAnswer {
+	return i.vm.segments.Take(call)
+}
+
+// GetSegment implements vm.Handler.
+func (i inner) GetSegment(_ context.Context, call vm.SegmentCall) vm.SegmentAnswer {
+	return i.vm.segments.Give(call)
+}
+
 // group runs the background parts of a VM and waits for them.
 type group struct {
 	parts sync.WaitGroup
--- a/daemon/notes.go
+++ b/daemon/notes.go
@@ -158,6 +158,14 @@
 	})
 }
 
+// announceJob tells all other members of a batch job. One that misses it finds
+// the job at its next look.
+func (c *courier) announceJob(call vm.JobCall) {
+	c.toOthers(context.Background(), func(ctx context.Context, address string) error {
+		return c.peers.JobChanged(ctx, address, call)
+	})
+}
+
 // Submit implements operator.NoteService.
 func (c *courier) Submit(ctx context.Context, note release.Note) (int64, error) {
 	revision, err := c.store.Submit(ctx, note, c.announce)
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/pflag"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/route"
 )
 
@@ -37,6 +38,9 @@
 	RoutePolicy      string
 	RateMode         string
 	SlotCount        int
+	BatchPolicy      string
+	BatchBytes       int64
+	DataFolder       string
 	PeerAddresses    []string
 	AdvertiseInner   string
 	AdvertiseOperate string
@@ -71,6 +75,9 @@
 	flags.DurationVar(&s.LeaseTerm, "lease-term", 10*time.Second, "`term` of this VM's platform lease")
 	flags.StringVar(&s.RoutePolicy, "route-policy", string(route.PolicyLocality), "routing `policy`: locality, power_of_two, round_robin or least_in_flight")
 	flags.StringVar(&s.RateMode, "rate-mode", RateModePledge, "rate sharing `mode`: pledge, lending or static")
+	flags.StringVar(&s.BatchPolicy, "batch-policy", string(dispatch.BatchYield), "batch `policy`: yield, cap or none")
+	flags.Int64Var(&s.BatchBytes, "batch-platform-bytes", 16<<20, "largest input file in `bytes` while there are no disk VMs in two data centres")
+	flags.StringVar(&s.DataFolder, "data-folder", "", "`path` of this VM's folder for bulk data; without one the VM keeps nothing")
 	flags.IntVar(&s.SlotCount, "slot-count", 16, "`number` of standing shares of each rate; the same on all VMs, at least the number of VMs")
 }
 
@@ -130,6 +137,9 @@
 	add(s.SlotCount < 1, "slot-count", "below 1", "give at least the number of VMs")
 	add(s.RateMode != RateModePledge && s.RateMode != RateModeLending && s.RateMode != RateModeStatic, "rate-mode", "unknown", "choose pledge, lending or static")
 	add(!knownPolicy(s.RoutePolicy), "route-policy", "unknown", "choose locality, power_of_two, round_robin or least_in_flight")
+	policy := dispatch.BatchPolicy(s.BatchPolicy)
+	add(policy != dispatch.BatchYield && policy != dispatch.BatchCap && policy != dispatch.BatchNone, "batch-policy", "unknown", "choose yield, cap or none")
+	add(s.BatchBytes < 1, "batch-platform-bytes", "below 1", "give a larger bound")
 	s.checkTimes(add)
 	if len(faults) == 0 {
 		return nil
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -14,7 +14,9 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/backend"
+	"github.com/bergamotgrade/bergamotgrade/batch"
 	"github.com/bergamotgrade/bergamotgrade/caller"
+	"github.com/bergamotgrade/bergamotgrade/disk"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/idempotency"
 	"github.com/bergamotgrade/bergamotgrade/limit"
@@ -41,6 +43,8 @@
 	keeper   *member.Keeper
 	limiter  *rate.Limiter
 	giver    *orders.Giver
+	segments *disk.Segments
+	runner   *batch.Runner
 	inner    *vm.Server
 	fleet    *dispatch.Fleet
 	backend  *backend.Client
@@ -62,7 +66,7 @@
 		settings: settings,
 		ring:     ring,
 		follower: release.NewFollower(clock, store, ring),
-		fleet:    dispatch.New(clock, client, ring, route.Policy(settings.RoutePolicy)),
+		fleet:    dispatch.New(clock, client, ring, route.Policy(settings.RoutePolicy), dispatch.BatchPolicy(settings.BatchPolicy)),
 		backend:  client,
 		wake:     make(chan struct{}, 1),
 	}
@@ -83,25 +87,44 @@
 		Ring:     ring,
 	})
 	v.inner = vm.NewServer(settings.InnerSecret, inner{v}, metricMap("inner"))
-	var err error
+	folder, err := openFolder(settings.DataFolder)
+	if err != nil {
+		return nil, err
+	}
+	v.segments = disk.NewSegments(folder, v.keeper, peers, batch.NewPlatformSegments(service, clock, settings.BatchBytes))
+	repository := batch.NewRepository(service, v.segments, clock)
 	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
 		Clock:   clock,
 		Source:  v,
 		Limiter: v.chooseLimiter(clock),
 		Fleet:   v.fleet,
 		Records: idempotency.New(service, clock),
+		Batches: repository,
+		Announce: func(jobID string, cancelled bool) {
+			v.runner.JobChanged(jobID, cancelled)
+			v.courier.announceJob(vm.JobCall{JobID: jobID, Cancelled: cancelled})
+		},
 		Ring:    ring,
 		Metrics: metricMap("caller"),
 	})
 	if err != nil {
 		return nil, err
 	}
+	v.runner = batch.NewRunner(clock, repository, v.keeper, v.caller.Executor(), ring, metricMap("batch"))
 	v.follower.OnChange(v.applyState)
 	v.keeper.OnChange(func() { v.fleet.SetState(v.follower.State(), v.vmCount()) })
 	v.keeper.OnChange(v.limiter.Nudge)
 	return v, nil
 }
 
+// openFolder returns the data folder, or nil for a VM without one.
+func openFolder(path string) (*disk.Folder, error) {
+	if path == "" {
+		return nil, nil
+	}
+	return disk.NewFolder(path)
+}
+
 func (v *VM) chooseLimiter(clock bergamotgrade.Clock) bergamotgrade.Limiter {
 	if v.settings.RateMode == RateModeStatic {
 		return limit.NewStatic(clock, v.settings.SlotCount)
@@ -115,6 +138,7 @@
 		DataCentre:      settings.DataCentre,
 		InnerAddress:    orElse(settings.AdvertiseInner, settings.InnerAddress),
 		OperatorAddress: orElse(settings.AdvertiseOperate, settings.OperatorAddress),
+		HasDisk:         settings.DataFolder != "",
 	}
 	return member.Config{
 		Record:        member.Identify(record),
@@ -187,6 +211,7 @@
 	parts.start(background, v.keeper.Run)
 	parts.start(background, v.limiter.Run)
 	parts.start(background, v.giver.Run)
+	parts.start(background, v.runner.Run)
 	parts.start(background, v.fleet.Run)
 	parts.start(background, v.backend.Run)
 	parts.start(background, func(ctx context.Context) { v.inner.Run(ctx, listeners.inner) })
@@ -232,7 +257,10 @@
 	drainCtx, cancel := context.WithTimeout(background, v.settings.DrainTimeout)
 	defer cancel()
 	v.keeper.SetLeaving(drainCtx)
+	var handOver group
+	handOver.start(drainCtx, v.runner.Stop)
 	err := v.caller.Drain(drainCtx, callerServer, v.settings.DrainNotice, v.settings.DrainQuiet)
+	handOver.parts.Wait()
 	v.keeper.Leave(background)
 	_ = operatorServer.Close()
 	_ = servers.Wait()
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -36,6 +36,8 @@
 	deadline  time.Time
 	request   route.Request
 	attempt   int
+	// yields counts the attempts that made room for online requests.
+	yields int
 	// maybeRan is set once an attempt may have reached a server.
 	maybeRan bool
 }
@@ -55,15 +57,23 @@
 	}
 	tokens := &tokenRelay{run: r, sink: sink}
 	for {
-		item := &queue.Item{TeamID: ask.Team.TeamID, Weight: ask.Team.Weight, Cost: ask.Cost, Class: ask.Class, Deadline: ask.Deadline}
+		item := &queue.Item{TeamID: ask.Team.TeamID, Weight: ask.Team.Weight, Cost: ask.Cost, Class: f.batch.class(ask.Class), Deadline: ask.Deadline}
 		place, err := pool.acquire(ctx, item, r.request)
 		if err != nil {
 			return r.refuse(err)
 		}
-		err = tokens.attempt(ctx, place, ask)
+		attemptCtx, done := place.yieldable(ctx, item.Class)
+		err = tokens.attempt(attemptCtx, place, ask)
+		done()
 		if err == nil {
 			return nil
 		}
+		if context.Cause(attemptCtx) == errPreempted && ctx.Err() == nil {
+			place.release(route.OutcomeAbandoned)
+			r.attempt-- // yielding is no failure
+			r.yields++
+			continue
+		}
 		if err := r.mayRetry(ctx, place, err, true); err != nil {
 			return err
 		}
@@ -89,7 +99,7 @@
 
 func (r *run) nextAttempt(place *place) string {
 	r.attempt++
-	id := fmt.Sprintf("%s.%d", r.requestID, r.attempt)
+	id := fmt.Sprintf("%s.%d", r.requestID, r.attempt+r.yields)
 	r.fleet.ring.Record(timeline.KindDispatch, r.requestID, place.server.BackendServerID, id)
 	return id
 }
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -23,6 +23,11 @@
 	maxQueueItems = 4096
 	// maxQueuePerTeam bounds the waiting requests of one team.
 	maxQueuePerTeam = 512
+	// batchShare is the share of a server's slots that batch may fill; the rest
+	// waits for online requests.
+	batchShare = 0.75
+	// cappedShare is the share of the fixed-cap baseline.
+	cappedShare = 0.5
 	// prefixBytes is the length of the prompt that locality looks at.
 	prefixBytes = 256
 )
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,11 +21,16 @@
 	clock   bergamotgrade.Clock
 	backend bergamotgrade.Backend
 	ring    *timeline.Ring
+	batch   BatchPolicy
 
 	mu      sync.Mutex
 	pool    *route.Pool
 	queue   *queue.Fair
 	waiters map[*queue.Item]*waiter
+	// yielding holds the batch attempts that may be ended for online requests,
+	// preempting counts those that are ending.
+	yielding   map[*place]context.CancelCauseFunc
+	preempting int
 }
 
 // waiter is one request that waits for a place.
@@ -44,17 +49,23 @@
 	dispatcher *Dispatcher
 	server     bergamotgrade.BackendServer
 	once       sync.Once
+	// preempted is set when the attempt ends for an online request; the
+	// dispatcher's lock guards it.
+	preempted bool
 }
 
-func newDispatcher(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy) *Dispatcher {
+func newDispatcher(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy, batch BatchPolicy) *Dispatcher {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Dispatcher{
 		clock:   clock,
 		backend: backend,
 		ring:    ring,
+		batch:   batch,
 		pool:    route.NewPool(policy, random),
 		queue:   queue.NewFair(maxQueueItems, maxQueuePerTeam),
 		waiters: map[*queue.Item]*waiter{},
+
+		yielding: map[*place]context.CancelCauseFunc{},
 	}
 }
 
@@ -74,7 +85,10 @@
 		d.mu.Unlock()
 		return nil, bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server is in service", "try again; operators: add a backend server by a release note")
 	}
-	if d.queue.Len() == 0 {
+	if item.Class == queue.ClassBatch {
+		request.Share = d.batch.share()
+	}
+	if d.queue.LenOf(queue.ClassOnline) == 0 && (item.Class == queue.ClassOnline || d.queue.Len() == 0) {
 		if server, ok := d.pool.Pick(now, request); ok {
 			d.pool.Start(server.BackendServerID)
 			d.mu.Unlock()
@@ -88,6 +102,7 @@
 	w := &waiter{request: request, result: make(chan grant, 1)}
 	d.waiters[item] = w
 	d.pump()
+	d.preempt()
 	d.mu.Unlock()
 	return d.await(ctx, item, w)
 }
@@ -158,6 +173,9 @@
 		d := p.dispatcher
 		d.mu.Lock()
 		defer d.mu.Unlock()
+		if p.preempted {
+			d.preempting--
+		}
 		if d.pool.Finish(d.clock.Now(), p.server.BackendServerID, outcome) {
 			d.ring.Record(timeline.KindStateChange, "", p.server.BackendServerID, "ejected after failures in a row")
 		}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -20,6 +20,7 @@
 	backend bergamotgrade.Backend
 	ring    *timeline.Ring
 	policy  route.Policy
+	batch   BatchPolicy
 	budget  *retryBudget
 	retries atomic.Int64
 	uses    useCount
@@ -30,8 +31,8 @@
 }
 
 // New returns a fleet without servers; SetState brings them.
-func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy) *Fleet {
-	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, budget: newRetryBudget(), vms: 1, dispatchers: map[string]*Dispatcher{}, uses: useCount{counts: map[use]int{}}}
+func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy, batch BatchPolicy) *Fleet {
+	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, batch: batch, budget: newRetryBudget(), vms: 1, dispatchers: map[string]*Dispatcher{}, uses: useCount{counts: map[use]int{}}}
 }
 
 // modelPool names the pool of a model; an adapter shares its base model's.
@@ -59,7 +60,7 @@
 	for name, servers := range wanted {
 		d, ok := f.dispatchers[name]
 		if !ok {
-			d = newDispatcher(f.clock, f.backend, f.ring, f.policy)
+			d = newDispatcher(f.clock, f.backend, f.ring, f.policy, f.batch)
 			f.dispatchers[name] = d
 		}
 		d.setServers(servers, vms)
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -35,7 +35,7 @@
 	r := &run{fleet: f, pool: pool, requestID: ask.RequestID, deadline: ask.Deadline}
 	r.request = route.Request{Avoid: map[string]bool{}}
 	for {
-		item := &queue.Item{TeamID: ask.Team.TeamID, Weight: ask.Team.Weight, Cost: 1, Class: ask.Class, Deadline: ask.Deadline}
+		item := &queue.Item{TeamID: ask.Team.TeamID, Weight: ask.Team.Weight, Cost: 1, Class: f.batch.class(ask.Class), Deadline: ask.Deadline}
 		place, err := pool.acquire(ctx, item, r.request)
 		if err != nil {
 			return bergamotgrade.ServiceAnswer{}, r.refuse(err)
--- a/idempotency/constants.go
+++ b/idempotency/constants.go
@@ -12,7 +12,7 @@
 	// inProgressPause is the Retry-After of a request that still runs.
 	inProgressPause = time.Second
 	// readBackPause is the pause before an unanswered write is read back.
-	readBackPause = 100 * time.Millisecond
+	readBackPause = 200 * time.Millisecond
 	// settleTimeout bounds the writing of an outcome.
 	settleTimeout = 5 * time.Second
 )
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -145,6 +145,8 @@
 	vms, engines, services, dataCentres int
 	rate, burst                         float64
 	engineFlags, vmFlags                []string
+	// disks is the number of VMs with a data folder, the last ones.
+	disks int
 }
 
 func parseShape(ts *testscript.TestScript, args []string) shape {
@@ -159,6 +161,8 @@
 			_, err = fmt.Sscan(value, &s.engines)
 		case "services":
 			_, err = fmt.Sscan(value, &s.services)
+		case "disks":
+			_, err = fmt.Sscan(value, &s.disks)
 		case "rate":
 			_, err = fmt.Sscan(value, &s.rate)
 		case "burst":
@@ -206,7 +210,9 @@
 		id := fmt.Sprintf("engine%d", i)
 		address := f.startStandin(id, append([]string{"engine", "--token-time=5ms", "--slots=8", "--report-lag=50ms"}, s.engineFlags...)...)
 		engines = append(engines, id)
-		note.Set.BackendServers = append(note.Set.BackendServers, bergamotgrade.BackendServer{BackendServerID: id, Address: f.proxy(id, address), Slots: 8})
+		address = f.proxy(id, address)
+		f.ts.Setenv(strings.ToUpper(id), address)
+		note.Set.BackendServers = append(note.Set.BackendServers, bergamotgrade.BackendServer{BackendServerID: id, Address: address, Slots: 8})
 	}
 	for i := 1; i <= s.services; i++ {
 		id := fmt.Sprintf("service%d", i)
@@ -241,6 +247,9 @@
 		"--platform-address", f.proxy(name+"-platform", platformAddress),
 		"--first-token-timeout", "2s", "--token-gap-timeout", "700ms", "--drain-notice", "300ms", "--drain-quiet", "200ms", "--lease-term", "3s",
 	}
+	if number > s.vms-s.disks {
+		args = append(args, "--data-folder", f.ts.MkAbs(name+"-data"))
+	}
 	f.start(name, io.Discard, append(args, s.vmFlags...)...)
 }
 
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -47,6 +47,12 @@
 			"fetch":    withFleet(cmdFetch),
 			"note":     withFleet(cmdNote),
 			"sleep":    cmdSleep,
+			"items":    cmdItems,
+			"upload":   withFleet(cmdUpload),
+			"submit":   withFleet(cmdSubmit),
+			"batch":    withFleet(cmdBatch),
+			"verify":   withFleet(cmdVerify),
+			"runs":     withFleet(cmdRuns),
 			"orders":   withFleet(cmdOrders),
 			"loaded":   withFleet(cmdLoaded),
 			"client":   withFleet(cmdClient),
@@ -424,10 +430,11 @@
 	time.Sleep(d)
 }
 
-// cmdNote submits a note file at a VM and prints the answer.
+// cmdNote submits a note file, with its variables expanded, at a VM and prints the
+// answer.
 func cmdNote(ts *testscript.TestScript, _ bool, args []string) {
 	f := fleetOf(ts)
-	res, err := http.Post(f.operatorURL(args[0], "/notes"), "application/json", strings.NewReader(ts.ReadFile(args[1])))
+	res, err := http.Post(f.operatorURL(args[0], "/notes"), "application/json", strings.NewReader(os.Expand(ts.ReadFile(args[1]), ts.Getenv)))
 	ts.Check(err)
 	defer res.Body.Close()
 	body, err := io.ReadAll(res.Body)
--- a/limit/broker.go
+++ b/limit/broker.go
@@ -160,6 +160,19 @@
 	return b.share() * b.slotCount
 }
 
+// LendBatch grants tokens for batch items out of what is above the reserve for
+// the team's online requests.
+func (b *Broker) LendBatch(now time.Time, teamID string, limits Limits, n float64, settled []uint64) Grant {
+	team := b.team(now, teamID, limits)
+	b.resize(now, team, limits)
+	reserve := min(limits.Burst*b.share()*batchReserve, limits.Burst*b.share()-1)
+	spare := team.bucket.Level(now) - max(0, reserve)
+	if spare < 1 {
+		return Grant{RetryAt: now.Add(outstandingLife)}
+	}
+	return b.Lend(now, teamID, limits, min(n, spare), settled)
+}
+
 // Lend grants up to n tokens of the team, whole tokens only.
 func (b *Broker) Lend(now time.Time, teamID string, limits Limits, n float64, settled []uint64) Grant {
 	team := b.team(now, teamID, limits)
--- a/limit/constants.go
+++ b/limit/constants.go
@@ -18,6 +18,11 @@
 	outstandingLife = GrantLife + ClockMargin
 	// maxSettled bounds the used-up grants that one call reports.
 	maxSettled = 16
+	// staticPause is the time between two tries of a batch item.
+	staticPause = 50 * time.Millisecond
+	// batchReserve is the share of a team's burst that batch leaves to its online
+	// requests.
+	batchReserve = 0.5
 	// spentDust is the rounding error that a bucket forgives, in tokens.
 	spentDust = 1e-9
 )
--- a/limit/static.go
+++ b/limit/static.go
@@ -48,6 +48,23 @@
 	return Exceeded(team, readyAt)
 }
 
+// AdmitBatch implements bergamotgrade.Limiter.
+func (s *Static) AdmitBatch(ctx context.Context, team bergamotgrade.Team) error {
+	for {
+		err := s.Admit(ctx, team)
+		if err == nil {
+			return nil
+		}
+		timer := time.NewTimer(staticPause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return context.Cause(ctx)
+		case <-timer.C:
+		}
+	}
+}
+
 // Exceeded returns the refusal of a request beyond its team's rate.
 func Exceeded(team bergamotgrade.Team, retryAt time.Time) error {
 	return bergamotgrade.NewError(bergamotgrade.KindRateExceeded,
--- a/limit/wallet.go
+++ b/limit/wallet.go
@@ -134,6 +134,13 @@
 	return w.takeStanding(now, team, limits)
 }
 
+// AdmitBorrowed spends one borrowed token and leaves the standing share alone.
+func (w *Wallet) AdmitBorrowed(now time.Time, teamID string) bool {
+	team := w.team(now, teamID)
+	team.demand.Add(now)
+	return team.takeLot(now, w.brokerID)
+}
+
 func (w *Wallet) takeStanding(now time.Time, team *walletTeam, limits Limits) bool {
 	if w.Pledged(now) || w.slots == 0 {
 		return false
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -66,6 +66,9 @@
 	return total
 }
 
+// LenOf returns the number of waiting items of the class.
+func (q *Fair) LenOf(wanted Class) int { return len(q.classes[wanted].items) }
+
 // TeamFull reports whether the team's own part of the queue is used up.
 func (q *Fair) TeamFull(teamID string) bool { return q.perTeam[teamID] >= q.maxPerTeam }
 
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -114,12 +114,18 @@
 
 // Admit implements bergamotgrade.Limiter.
 func (l *Limiter) Admit(ctx context.Context, team bergamotgrade.Team) error {
+	return l.admit(ctx, team, purse{team.TeamID, false})
+}
+
+// admit waits for a token of the purse while one is due shortly or no broker
+// answers.
+func (l *Limiter) admit(ctx context.Context, team bergamotgrade.Team, from purse) error {
 	giveUpAt := l.clock.Now().Add(patience)
 	for {
 		if !l.members.Holds() {
 			return cutOff(l.clock.Now())
 		}
-		admitted, current := l.try(team)
+		admitted, current := l.try(team, from)
 		if admitted {
 			return nil
 		}
@@ -143,24 +149,24 @@
 }
 
 // try spends a token, or returns the loan to wait for.
-func (l *Limiter) try(team bergamotgrade.Team) (bool, *loan) {
+func (l *Limiter) try(team bergamotgrade.Team, from purse) (bool, *loan) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	p := l.partitions[partitionOf(team.TeamID)]
-	if p.wallet.Admit(now, team.TeamID, limit.LimitsOf(team)) {
+	if p.spend(now, team, from) {
 		l.metrics.Add("admitted", 1)
 		return true, nil
 	}
-	current, ok := p.borrowing[team.TeamID]
+	current, ok := p.borrowing[from.name]
 	if ok {
 		return false, current
 	}
 	current = &loan{done: make(chan struct{})}
-	p.borrowing[team.TeamID] = current
-	tokens, settled := p.wallet.Want(now, team.TeamID, 1)
-	call := vm.BorrowCall{Incarnation: l.incarnation, TeamID: team.TeamID, Tokens: tokens, Settled: settled}
-	go l.runLoan(p, current, call, team)
+	p.borrowing[from.name] = current
+	tokens, settled := p.wallet.Want(now, from.name, 1)
+	call := vm.BorrowCall{Incarnation: l.incarnation, TeamID: team.TeamID, Tokens: tokens, Batch: from.batch, Settled: settled}
+	go l.runLoan(p, current, call, from.name)
 	return false, current
 }
 
@@ -178,13 +184,13 @@
 }
 
 // runLoan performs one borrow call and credits its grant.
-func (l *Limiter) runLoan(p *partition, current *loan, call vm.BorrowCall, team bergamotgrade.Team) {
+func (l *Limiter) runLoan(p *partition, current *loan, call vm.BorrowCall, purseName string) {
 	sentAt := l.clock.Now()
 	broker, answer, err := l.borrow(p, call)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	delete(p.borrowing, call.TeamID)
+	delete(p.borrowing, purseName)
 	defer close(current.done)
 	if err != nil {
 		current.failed = true
@@ -194,7 +200,7 @@
 		return
 	}
 	grant := limit.Grant{ID: answer.GrantID, Tokens: answer.Tokens}
-	p.wallet.Credit(now, sentAt, team.TeamID, broker, grant)
+	p.wallet.Credit(now, sentAt, purseName, broker, grant)
 	current.failed = answer.Unready
 	if answer.Tokens < 1 {
 		current.retryAt = now.Add(answer.RetryFor)
@@ -240,7 +246,7 @@
 
 // Borrow lends to a VM as a broker.
 func (l *Limiter) Borrow(call vm.BorrowCall) vm.BorrowAnswer {
-	team, ok := l.state().Team(call.TeamID)
+	team, ok := teamOf(l.state(), call.TeamID)
 	if !ok {
 		return vm.BorrowAnswer{RetryFor: time.Second}
 	}
@@ -248,7 +254,11 @@
 	defer l.mu.Unlock()
 	now := l.clock.Now()
 	broker := l.partitions[partitionOf(call.TeamID)].broker
-	grant := broker.Lend(now, call.TeamID, limit.LimitsOf(team), call.Tokens, call.Settled)
+	lend := broker.Lend
+	if call.Batch {
+		lend = broker.LendBatch
+	}
+	grant := lend(now, call.TeamID, limit.LimitsOf(team), call.Tokens, call.Settled)
 	if grant.Tokens >= 1 {
 		l.metrics.Add("lent", int64(grant.Tokens))
 		return vm.BorrowAnswer{GrantID: grant.ID, Tokens: grant.Tokens, Life: limit.GrantLife}
--- a/release/check.go
+++ b/release/check.go
@@ -102,6 +102,9 @@
 		if team.Burst < 1 {
 			c.add(field+".burst", "below one request", "give a burst of at least 1")
 		}
+		if team.BatchRate < 0 || (team.BatchRate > 0 && team.BatchBurst < 1) {
+			c.add(field+".batch_rate", "below zero, or without a batch_burst of at least 1", "give both, or neither")
+		}
 		if team.Weight < 0 {
 			c.add(field+".weight", "below zero", "leave it out or give a positive weight")
 		}
--- a/route/pool.go
+++ b/route/pool.go
@@ -98,6 +98,9 @@
 	Avoid map[string]bool
 	// Only limits the choice to some servers of the pool; nil allows all.
 	Only map[string]bool
+	// Share bounds the part of a server's slots that may be in use afterwards;
+	// zero allows all of them.
+	Share float64
 }
 
 // Pick returns the server for the request, or false when none has room.
@@ -140,7 +143,7 @@
 		if wanted {
 			sound++
 		}
-		if !s.hasRoom(now, share) {
+		if !s.hasRoom(now, share, request.Share) {
 			continue
 		}
 		if wanted {
--- a/route/server.go
+++ b/route/server.go
@@ -46,9 +46,13 @@
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
-// hasRoom reports whether one more request stays within the slots. A VM may
-// always fill its own share, however full others keep the server.
-func (s *server) hasRoom(now time.Time, share int) bool {
+// hasRoom reports whether one more request stays within the slots, or within
+// the bound on their use if there is one. Without a bound a VM may always fill
+// its own share, however full others keep the server.
+func (s *server) hasRoom(now time.Time, share int, bound float64) bool {
+	if bound > 0 {
+		return float64(s.load(now)+1) <= bound*float64(s.record.Slots)
+	}
 	if s.inFlight < min(share, s.record.Slots) {
 		return true
 	}
--- a/vm/message.go
+++ b/vm/message.go
@@ -19,6 +19,9 @@
 	methodBorrow    = "borrow"
 	methodTable     = "table"
 	methodInUse     = "in_use"
+	methodJob       = "job_changed"
+	methodPut       = "put_segment"
+	methodGet       = "get_segment"
 )
 
 // Heartbeat tells a peer that a VM is alive and what it has in force.
@@ -104,6 +107,8 @@
 	Incarnation string  `json:"incarnation"`
 	TeamID      string  `json:"team_id"`
 	Tokens      float64 `json:"tokens"`
+	// Batch marks tokens for batch items, which leave a reserve for online use.
+	Batch bool `json:"batch,omitempty"`
 	// Settled lists grants of the team that are spent or given up.
 	Settled []uint64 `json:"settled,omitempty"`
 }
@@ -141,6 +146,25 @@
 	Revision int64 `json:"revision"`
 }
 
+// JobCall tells that a batch job was accepted or cancelled.
+type JobCall struct {
+	JobID     string `json:"job_id"`
+	Cancelled bool   `json:"cancelled,omitempty"`
+}
+
+// SegmentCall stores a segment on a disk VM, or asks for one.
+type SegmentCall struct {
+	Key  string `json:"key"`
+	Hash uint64 `json:"hash"`
+	Data []byte `json:"data,omitempty"`
+}
+
+// SegmentAnswer carries a segment, or confirms that one is on the disk.
+type SegmentAnswer struct {
+	Stored bool   `json:"stored,omitempty"`
+	Data   []byte `json:"data,omitempty"`
+}
+
 // Handler answers the calls of other VMs.
 type Handler interface {
 	Heartbeat(ctx context.Context, call Heartbeat) HeartbeatAnswer
@@ -151,6 +175,9 @@
 	Borrow(ctx context.Context, call BorrowCall) BorrowAnswer
 	Table(ctx context.Context, call TableCall) TableAnswer
 	InUse(ctx context.Context, call InUseCall) InUseAnswer
+	JobChanged(ctx context.Context, call JobCall)
+	PutSegment(ctx context.Context, call SegmentCall) SegmentAnswer
+	GetSegment(ctx context.Context, call SegmentCall) SegmentAnswer
 }
 
 // Empty is the answer of calls without one.
--- a/vm/peers.go
+++ b/vm/peers.go
@@ -77,6 +77,22 @@
 	return callPeer[InUseAnswer](ctx, p, address, methodInUse, call)
 }
 
+// JobChanged tells the peer of a batch job.
+func (p *Peers) JobChanged(ctx context.Context, address string, call JobCall) error {
+	_, err := callPeer[Empty](ctx, p, address, methodJob, call)
+	return err
+}
+
+// PutSegment stores a segment on a disk VM.
+func (p *Peers) PutSegment(ctx context.Context, address string, call SegmentCall) (SegmentAnswer, error) {
+	return callPeer[SegmentAnswer](ctx, p, address, methodPut, call)
+}
+
+// GetSegment fetches a segment from a disk VM.
+func (p *Peers) GetSegment(ctx context.Context, address string, call SegmentCall) (SegmentAnswer, error) {
+	return callPeer[SegmentAnswer](ctx, p, address, methodGet, call)
+}
+
 func (p *Peers) peer(address string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/vm/server.go
+++ b/vm/server.go
@@ -88,6 +88,12 @@
 		return answer(*params, func(c TableCall) any { return handler.Table(ctx, c) })
 	case methodInUse:
 		return answer(*params, func(c InUseCall) any { return handler.InUse(ctx, c) })
+	case methodJob:
+		return answer(*params, func(c JobCall) any { handler.JobChanged(ctx, c); return Empty{} })
+	case methodPut:
+		return answer(*params, func(c SegmentCall) any { return handler.PutSegment(ctx, c) })
+	case methodGet:
+		return answer(*params, func(c SegmentCall) any { return handler.GetSegment(ctx, c) })
 	}
 	// An older VM gets calls of a newer one during an upgrade.
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
--- a/vm/server_test.go
+++ b/vm/server_test.go
@@ -18,9 +18,14 @@
 func (silentHandler) Pending(context.Context, PendingCall)                 {}
 func (silentHandler) Evict(context.Context, EvictCall) EvictAnswer         { return EvictAnswer{} }
 func (silentHandler) Pledge(context.Context, PledgeCall) PledgeAnswer      { return PledgeAnswer{} }
-func (silentHandler) Borrow(context.Context, BorrowCall) BorrowAnswer      { return BorrowAnswer{} }
-func (silentHandler) Table(context.Context, TableCall) TableAnswer         { return TableAnswer{} }
-func (silentHandler) InUse(context.Context, InUseCall) InUseAnswer         { return InUseAnswer{} }
+
+func (silentHandler) Borrow(context.Context, BorrowCall) BorrowAnswer       { return BorrowAnswer{} }
+func (silentHandler) Table(context.Context, TableCall) TableAnswer          { return TableAnswer{} }
+func (silentHandler) InUse(context.Context, InUseCall) InUseAnswer          { return InUseAnswer{} }
+func (silentHandler) JobChanged(context.Context, JobCall)                   {}
+func (silentHandler) PutSegment(context.Context, SegmentCall) SegmentAnswer { return SegmentAnswer{} }
+
+func (silentHandler) GetSegment(context.Context, SegmentCall) SegmentAnswer { return SegmentAnswer{} }
 
 // FuzzServe feeds any bytes as messages of the inner protocol.
 func FuzzServe(f *testing.F) {
