--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -45,6 +45,7 @@
 	giver    *orders.Giver
 	segments *disk.Segments
 	runner   *batch.Runner
+	jobs     *operator.JobHandler
 	inner    *vm.Server
 	fleet    *dispatch.Fleet
 	backend  *backend.Client
@@ -94,22 +95,20 @@
 	v.segments = disk.NewSegments(folder, v.keeper, peers, batch.NewPlatformSegments(service, clock, settings.BatchBytes))
 	repository := batch.NewRepository(service, v.segments, clock)
 	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
-		Clock:   clock,
-		Source:  v,
-		Limiter: v.chooseLimiter(clock),
-		Fleet:   v.fleet,
-		Records: idempotency.New(service, clock),
-		Batches: repository,
-		Announce: func(jobID string, cancelled bool) {
-			v.runner.JobChanged(jobID, cancelled)
-			v.courier.announceJob(vm.JobCall{JobID: jobID, Cancelled: cancelled})
-		},
-		Ring:    ring,
-		Metrics: metricMap("caller"),
+		Clock:    clock,
+		Source:   v,
+		Limiter:  v.chooseLimiter(clock),
+		Fleet:    v.fleet,
+		Records:  idempotency.New(service, clock),
+		Batches:  repository,
+		Announce: v.announceJob,
+		Ring:     ring,
+		Metrics:  metricMap("caller"),
 	})
 	if err != nil {
 		return nil, err
 	}
+	v.jobs = operator.NewJobHandler(repository, v.announceJob)
 	v.runner = batch.NewRunner(clock, repository, v.keeper, v.caller.Executor(), ring, metricMap("batch"))
 	v.follower.OnChange(v.applyState)
 	v.keeper.OnChange(func() { v.fleet.SetState(v.follower.State(), v.vmCount()) })
@@ -117,6 +116,12 @@
 	return v, nil
 }
 
+// announceJob tells this VM's runner and all others of a batch job.
+func (v *VM) announceJob(jobID string, cancelled bool) {
+	v.runner.JobChanged(jobID, cancelled)
+	v.courier.announceJob(vm.JobCall{JobID: jobID, Cancelled: cancelled})
+}
+
 // openFolder returns the data folder, or nil for a VM without one.
 func openFolder(path string) (*disk.Folder, error) {
 	if path == "" {
@@ -212,6 +217,7 @@
 	parts.start(background, v.limiter.Run)
 	parts.start(background, v.giver.Run)
 	parts.start(background, v.runner.Run)
+	parts.start(background, v.segments.Run)
 	parts.start(background, v.fleet.Run)
 	parts.start(background, v.backend.Run)
 	parts.start(background, func(ctx context.Context) { v.inner.Run(ctx, listeners.inner) })
@@ -243,7 +249,7 @@
 // serve answers callers and operators until the stop, and then drains.
 func (v *VM) serve(ctx, background context.Context, l listeners) error {
 	callerServer := v.caller.HTTPServer()
-	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.courier), v.keeper), ReadHeaderTimeout: operatorHeaderTimeout}
+	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.courier), v.jobs, v.keeper), ReadHeaderTimeout: operatorHeaderTimeout}
 	servers, serversCtx := errgroup.WithContext(background)
 	servers.Go(func() error { return closed(operatorServer.Serve(l.operators)) })
 	servers.Go(func() error { return closed(callerServer.Serve(l.callers)) })
--- a/disk/folder.go
+++ b/disk/folder.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -18,6 +19,8 @@
 	// filePermissions and folderPermissions let nobody else read segments.
 	filePermissions   = 0o600
 	folderPermissions = 0o700
+	// maxKeyBytes bounds a key; its encoded form has to fit a file name.
+	maxKeyBytes = 110
 	// suffix ends the name of each segment.
 	suffix = ".segment"
 )
@@ -41,16 +44,31 @@
 // file is the path of a segment; the key is encoded, so that no key leaves the
 // folder.
 func (f *Folder) file(key string) string {
-	hash := xxhash.Sum64String(key)
-	name := hex.EncodeToString([]byte(key))
-	if len(name) > 200 {
-		name = name[:180] + hex.EncodeToString(binary.BigEndian.AppendUint64(nil, hash))
+	return filepath.Join(f.path, hex.EncodeToString([]byte(key))+suffix)
+}
+
+// Keys returns the keys of all segments.
+func (f *Folder) Keys() ([]string, error) {
+	entries, err := os.ReadDir(f.path)
+	if err != nil {
+		return nil, err
 	}
-	return filepath.Join(f.path, name+suffix)
+	var keys []string
+	for _, entry := range entries {
+		name, ok := strings.CutSuffix(entry.Name(), suffix)
+		key, err := hex.DecodeString(name)
+		if ok && err == nil {
+			keys = append(keys, string(key))
+		}
+	}
+	return keys, nil
 }
 
 // Put writes a segment and returns once it is on the disk.
 func (f *Folder) Put(key string, data []byte) error {
+	if len(key) > maxKeyBytes {
+		return errors.Newf("the key of a segment holds more than %d bytes", maxKeyBytes)
+	}
 	temp, err := os.CreateTemp(f.path, "writing-*")
 	if err != nil {
 		return err
--- a/disk/segments.go
+++ b/disk/segments.go
@@ -160,5 +160,8 @@
 	if err != nil || xxhash.Sum64(data) != call.Hash {
 		return vm.SegmentAnswer{}
 	}
+	if call.Probe {
+		return vm.SegmentAnswer{Stored: true}
+	}
 	return vm.SegmentAnswer{Stored: true, Data: data}
 }
--- a/integration/load_test.go
+++ b/integration/load_test.go
@@ -18,6 +18,9 @@
 	rate, limit, burst     float64
 	length                 time.Duration
 	maxRefused, minAdmited float64
+	// balanced goes straight to the VMs and leaves out those that accept no
+	// connection.
+	balanced bool
 }
 
 // loadCount is what became of the requests of a load.
@@ -38,6 +41,8 @@
 		switch name {
 		case "vms":
 			spec.vms = strings.Split(value, ",")
+		case "balanced":
+			spec.balanced = true
 		case "key":
 			spec.key = value
 		case "background":
@@ -101,7 +106,7 @@
 	for i := range total {
 		time.Sleep(time.Until(startedAt.Add(time.Duration(float64(i) / s.rate * float64(time.Second)))))
 		requests.Go(func() {
-			answer := f.send(requestSpec{vm: s.vms[i%len(s.vms)], key: s.key, method: "GET", path: "/v1/services/manifests/lots", timeout: 10 * time.Second})
+			answer := s.send(f, i)
 			mu.Lock()
 			defer mu.Unlock()
 			switch {
@@ -119,6 +124,24 @@
 	return count
 }
 
+// send sends one request to the VM whose turn it is.
+func (s loadSpec) send(f *fleet, turn int) string {
+	spec := requestSpec{key: s.key, method: "GET", path: "/v1/services/manifests/lots", timeout: 10 * time.Second}
+	answer := "no VM accepts connections"
+	for attempt := range len(s.vms) {
+		spec.vm = s.vms[(turn+attempt)%len(s.vms)]
+		spec.address = f.proxies[spec.vm].Address()
+		if !s.balanced {
+			return f.send(spec)
+		}
+		spec.address = f.direct[spec.vm]
+		if answer = f.send(spec); answer != notConnected {
+			break
+		}
+	}
+	return answer
+}
+
 func (s loadSpec) judge(count loadCount) (string, error) {
 	text := fmt.Sprintf("sent %d admitted %d refused %d failed %d in %.1fs\n", count.sent, count.admitted, count.refused, count.failed, count.took.Seconds())
 	if owed := s.burst + s.limit*count.took.Seconds(); s.limit > 0 && float64(count.admitted+count.failed) > owed {
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -83,10 +84,12 @@
 // requestSpec is one request as a script writes it.
 type requestSpec struct {
 	vm, key, method, path, body string
-	header                      http.Header
-	background                  string
-	count                       int
-	timeout                     time.Duration
+	// address is where the VM is reached, its proxy if empty.
+	address    string
+	header     http.Header
+	background string
+	count      int
+	timeout    time.Duration
 }
 
 func parseRequest(ts *testscript.TestScript, args []string) requestSpec {
@@ -129,10 +132,16 @@
 // reused as a router would.
 var callerTransport = &http.Transport{MaxIdleConnsPerHost: 100}
 
+// notConnected is the outcome of a request whose connection was refused.
+const notConnected = "no connection\n"
+
 // send performs one request and returns its answer in a stable form.
 func (f *fleet) send(spec requestSpec) string {
 	client := &http.Client{Transport: callerTransport, Timeout: spec.timeout}
-	req, err := http.NewRequest(spec.method, "http://"+f.proxies[spec.vm].Address()+spec.path, strings.NewReader(spec.body))
+	if spec.address == "" {
+		spec.address = f.proxies[spec.vm].Address()
+	}
+	req, err := http.NewRequest(spec.method, "http://"+spec.address+spec.path, strings.NewReader(spec.body))
 	if err != nil {
 		return err.Error() + "\n"
 	}
@@ -145,6 +154,10 @@
 	res, err := client.Do(req)
 	if err != nil {
 		callerTransport.CloseIdleConnections()
+		var op *net.OpError
+		if errors.As(err, &op) && op.Op == "dial" {
+			return notConnected
+		}
 		return "no answer\n"
 	}
 	defer res.Body.Close()
--- a/operator/client.go
+++ b/operator/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/batch"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
@@ -69,6 +70,33 @@
 	return c.call(ctx, http.MethodPost, "/members/evict", EvictRequest{VMID: vmID, Incarnation: incarnation}, nil)
 }
 
+// Jobs returns the batch jobs of all teams.
+func (c *Client) Jobs(ctx context.Context) ([]batch.Job, error) {
+	var jobs []batch.Job
+	return jobs, c.call(ctx, http.MethodGet, "/jobs", nil, &jobs)
+}
+
+// Job returns a batch job and its progress.
+func (c *Client) Job(ctx context.Context, jobID string) (JobProgress, error) {
+	var progress JobProgress
+	return progress, c.call(ctx, http.MethodGet, "/jobs/"+url.PathEscape(jobID), nil, &progress)
+}
+
+// CancelJob cancels a batch job for good.
+func (c *Client) CancelJob(ctx context.Context, jobID string) (JobProgress, error) {
+	var progress JobProgress
+	return progress, c.call(ctx, http.MethodPost, "/jobs/"+url.PathEscape(jobID)+"/cancel", nil, &progress)
+}
+
+// JobResults copies the results of a batch job to w.
+func (c *Client) JobResults(ctx context.Context, jobID string, failed bool, w io.Writer) error {
+	path := "/jobs/" + url.PathEscape(jobID) + "/results"
+	if failed {
+		path += "?errors"
+	}
+	return c.call(ctx, http.MethodGet, path, nil, w)
+}
+
 // Metrics returns the VM's expvar page.
 func (c *Client) Metrics(ctx context.Context) (json.RawMessage, error) {
 	var page json.RawMessage
@@ -109,6 +137,10 @@
 	if answer == nil {
 		return nil
 	}
+	if w, ok := answer.(io.Writer); ok {
+		_, err := io.Copy(w, res.Body)
+		return err
+	}
 	return json.NewDecoder(limited).Decode(answer)
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -51,7 +51,7 @@
 }
 
 // Handler returns the operators' interface of a VM.
-func Handler(status func() Status, ring *timeline.Ring, notes *NoteHandler, evictor Evictor) http.Handler {
+func Handler(status func() Status, ring *timeline.Ring, notes *NoteHandler, jobs *JobHandler, evictor Evictor) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /debug/vars", expvar.Handler())
 	mux.Handle("GET /timeline", ring)
@@ -81,6 +81,7 @@
 		writeJSON(w, http.StatusOK, wanted)
 	})
 	notes.register(mux)
+	jobs.register(mux)
 	return mux
 }
 
--- a/vm/message.go
+++ b/vm/message.go
@@ -157,6 +157,8 @@
 	Key  string `json:"key"`
 	Hash uint64 `json:"hash"`
 	Data []byte `json:"data,omitempty"`
+	// Probe asks only whether the segment is there and sound.
+	Probe bool `json:"probe,omitempty"`
 }
 
 // SegmentAnswer carries a segment, or confirms that one is on the disk.
