Measure routing, batch and rates; cost of control

make measure and make slopes run fleets of real processes with open-loop load. Cause: full engines counted as having room for a VM's own share, and single load reports, half a second old, were compared. Change: servers with real room come first, and reports are smoothed.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test race fuzz
+.PHONY: build test race measure slopes
 
 build:
 	go build -o bin/ ./cmd/...
@@ -9,3 +9,11 @@
 
 race:
 	go test -race ./...
+
+# Routing, batch and rates at the sizes of today, each beside its baselines.
+measure:
+	go run ./cmd/measure run
+
+# The cost of control against teams, VMs and backend servers (docs/CAPACITY.md).
+slopes:
+	go run ./cmd/measure --json slopes.json slopes
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -15,6 +15,9 @@
 	loadInterval = 250 * time.Millisecond
 	// loadWorkers is the number of load polls under way in one pool.
 	loadWorkers = 8
+	// idlePolls bounds the unused servers of one pool that are asked in one
+	// interval.
+	idlePolls = 10
 	// retryPause is the pause before a retry.
 	retryPause = 20 * time.Millisecond
 	// overloadPause is the Retry-After of a full queue.
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -183,10 +183,11 @@
 	})
 }
 
-// pollLoads asks every server of the pool for its load once.
+// pollLoads asks for the load of the servers that this VM has been using, and
+// of a few of the others in turn.
 func (d *Dispatcher) pollLoads(ctx context.Context) {
 	d.mu.Lock()
-	servers := d.pool.Servers()
+	servers := d.pool.DuePolls(d.clock.Now(), idlePolls)
 	d.mu.Unlock()
 	var group errgroup.Group
 	group.SetLimit(loadWorkers)
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -303,14 +303,13 @@
 	})
 }
 
+// submit submits the note until enough VMs are there to hear of it.
 func (f *fleet) submit(note release.Note) {
-	body, err := json.Marshal(note)
-	f.ts.Check(err)
-	res, err := http.Post(f.operatorURL("vm1", "/notes"), "application/json", strings.NewReader(string(body)))
-	f.ts.Check(err)
-	defer res.Body.Close()
-	answer, _ := io.ReadAll(res.Body)
-	if res.StatusCode != http.StatusOK {
-		f.ts.Fatalf("note refused: %s", answer)
-	}
+	f.poll("note "+note.NoteID+" is accepted", func() bool {
+		_, err := operator.NewClient(f.direct["vm1-operator"]).Submit(context.Background(), note)
+		if err != nil && !bergamotgrade.IsKind(err, bergamotgrade.KindNotReady) {
+			f.ts.Fatalf("note refused: %v", err)
+		}
+		return err == nil
+	})
 }
--- a/route/constants.go
+++ b/route/constants.go
@@ -13,6 +13,8 @@
 	loadBound = 1.25
 	// reportLife is the age at which a load report counts no more.
 	reportLife = 2 * time.Second
+	// smoothing is the weight of a new report against the mean before it.
+	smoothing = 0.25
 	// failuresToEject is the number of failures in a row that eject a server.
 	failuresToEject = 3
 	// ejectionBase is the length of the first ejection; it doubles each time.
--- a/route/history.go
+++ b/route/history.go
@@ -34,6 +34,7 @@
 		return false
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	s.usedAt = now
 	switch outcome {
 	case OutcomeOK:
 		s.failures, s.ejections = 0, 0
@@ -50,6 +51,7 @@
 		return
 	}
 	s.reportedOthers = max(0, report.Running+report.Waiting-s.inFlight)
+	s.smoothOthers += (float64(s.reportedOthers) - s.smoothOthers) * smoothing
 	s.reportedAt = now
 	if s.ejected(now) {
 		s.ejectedUntil = now
--- a/route/pool.go
+++ b/route/pool.go
@@ -36,6 +36,8 @@
 	servers map[string]*server
 	order   []string
 	turn    int
+	// pollTurn is the place in order of the unused server asked last.
+	pollTurn int
 	// vms is the number of VMs that share the servers.
 	vms int
 }
@@ -81,13 +83,28 @@
 	sort.Strings(p.order)
 }
 
-// Servers returns the records of all servers in order of their ids.
-func (p *Pool) Servers() []bergamotgrade.BackendServer {
-	records := make([]bergamotgrade.BackendServer, 0, len(p.order))
+// DuePolls returns the servers whose load is to be asked now: those used of
+// late, and at most idle of the others in turn.
+func (p *Pool) DuePolls(now time.Time, idle int) []bergamotgrade.BackendServer {
+	var due []bergamotgrade.BackendServer
+	for range len(p.order) {
+		p.pollTurn = (p.pollTurn + 1) % len(p.order)
+		s := p.servers[p.order[p.pollTurn]]
+		if s.inFlight > 0 || now.Sub(s.usedAt) < reportLife {
+			continue
+		}
+		if idle--; idle < 0 {
+			p.pollTurn = (p.pollTurn + len(p.order) - 1) % len(p.order)
+			break
+		}
+		due = append(due, s.record)
+	}
 	for _, id := range p.order {
-		records = append(records, p.servers[id].record)
+		if s := p.servers[id]; s.inFlight > 0 || now.Sub(s.usedAt) < reportLife {
+			due = append(due, s.record)
+		}
 	}
-	return records
+	return due
 }
 
 // Request is what a choice depends on.
@@ -129,33 +146,37 @@
 }
 
 // candidates returns the servers with room: not leaving, not ejected, not
-// avoided. Ejection and avoidance give way before the pool is empty.
+// avoided. Where none has room, those count of which this VM uses less than its
+// share. Ejection and avoidance give way before the pool is empty.
 func (p *Pool) candidates(now time.Time, request Request) []*server {
-	var healthy, fallback []*server
-	sound := 0
-	share := p.share()
+	var sound, fallback []*server
 	for _, id := range p.order {
 		s := p.servers[id]
-		if s.record.Leaving || (request.Only != nil && !request.Only[id]) {
-			continue
-		}
-		wanted := !s.ejected(now) && !request.Avoid[id]
-		if wanted {
-			sound++
-		}
-		if !s.hasRoom(now, share, request.Share) {
-			continue
-		}
-		if wanted {
-			healthy = append(healthy, s)
-		} else {
+		switch {
+		case s.record.Leaving || (request.Only != nil && !request.Only[id]):
+		case s.ejected(now) || request.Avoid[id]:
 			fallback = append(fallback, s)
+		default:
+			sound = append(sound, s)
+		}
+	}
+	if len(sound) == 0 {
+		sound = fallback
+	}
+	var roomy, shared []*server
+	share := p.share()
+	for _, s := range sound {
+		switch {
+		case s.hasRoom(now, request.Share):
+			roomy = append(roomy, s)
+		case request.Share == 0 && s.hasShare(share):
+			shared = append(shared, s)
 		}
 	}
-	if sound > 0 {
-		return healthy
+	if len(roomy) == 0 {
+		return shared
 	}
-	return fallback
+	return roomy
 }
 
 // Usable returns the number of servers that are not leaving.
--- a/route/server.go
+++ b/route/server.go
@@ -11,9 +11,13 @@
 	record   bergamotgrade.BackendServer
 	inFlight int
 
-	// reportedOthers is the load by other VMs in the last report.
+	// reportedOthers is the load by other VMs in the last report, smoothOthers
+	// its mean over the last few: a single report is too old to compare servers.
 	reportedOthers int
+	smoothOthers   float64
 	reportedAt     time.Time
+	// usedAt is when the last attempt at the server ended.
+	usedAt time.Time
 
 	warmFrom     time.Time
 	failures     int
@@ -41,20 +45,26 @@
 
 // score is the relative load that one more request would bring.
 func (s *server) score(now time.Time) float64 {
-	return float64(s.load(now)+1) / s.weight(now)
+	others := s.smoothOthers
+	if now.Sub(s.reportedAt) > reportLife {
+		others = 0
+	}
+	return (float64(s.inFlight) + others + 1) / s.weight(now)
 }
 
 func (s *server) ejected(now time.Time) bool { return now.Before(s.ejectedUntil) }
 
-// hasRoom reports whether one more request stays within the slots, or within
-// the bound on their use if there is one. Without a bound a VM may always fill
-// its own share, however full others keep the server.
-func (s *server) hasRoom(now time.Time, share int, bound float64) bool {
+// hasRoom reports whether one more request stays within the bound on the use of
+// the slots; zero allows all of them.
+func (s *server) hasRoom(now time.Time, bound float64) bool {
 	if bound > 0 {
 		return float64(s.load(now)+1) <= bound*float64(s.record.Slots)
 	}
-	if s.inFlight < min(share, s.record.Slots) {
-		return true
-	}
 	return s.load(now) < s.record.Slots
 }
+
+// hasShare reports whether this VM uses less than its own share of the slots,
+// which it may always fill, however full others keep the server.
+func (s *server) hasShare(share int) bool {
+	return s.inFlight < min(share, s.record.Slots)
+}
