Let one VM at a time bring batch work to an engine, and cut control traffic

Cause: with nine VMs each filled three quarters of an engine by its own lagging view, so that engines were overfull and online requests waited inside them, where no VM can order them: first token p95 566 ms with batch (yield) against 47 ms alone, 723 ms without any policy. Change: an engine's batch work comes from one VM, by rendezvous hashing over the VMs that have some (told in heartbeats), and that VM ends attempts when load reports show more than batch may fill.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -113,6 +113,13 @@
 	r.jobs.Wait()
 }
 
+// Busy reports whether this VM has batch work.
+func (r *Runner) Busy() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.running) > 0
+}
+
 func (r *Runner) isStopping() bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -46,6 +46,9 @@
 	AdvertiseOperate string
 }
 
+// minLeaseTerm leaves time to renew before a VM stops by its own clock.
+const minLeaseTerm = 5 * time.Second
+
 // environmentPrefix begins the name of every environment variable.
 const environmentPrefix = "BERGAMOT_"
 
@@ -133,7 +136,7 @@
 	add(s.PlatformRate <= 0, "platform-rate", "not above zero", "give this VM's part of the platform's call budget")
 	add(s.MaxBodyBytes < 1024, "max-body-bytes", "below 1024", "give a larger bound")
 	add(s.MaxConnections < 1, "max-connections", "below 1", "give a larger bound")
-	add(s.LeaseTerm < time.Second, "lease-term", "below one second", "give at least 1s")
+	add(s.LeaseTerm < minLeaseTerm, "lease-term", "below 5s", "give at least 5s")
 	add(s.SlotCount < 1, "slot-count", "below 1", "give at least the number of VMs")
 	add(s.RateMode != RateModePledge && s.RateMode != RateModeLending && s.RateMode != RateModeStatic, "rate-mode", "unknown", "choose pledge, lending or static")
 	add(!knownPolicy(s.RoutePolicy), "route-policy", "unknown", "choose locality, power_of_two, round_robin or least_in_flight")
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"net"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,10 @@
 // operatorHeaderTimeout bounds the header of an operator's request.
 const operatorHeaderTimeout = 5 * time.Second
 
+// batchSharesInterval is the time between two looks at which VMs have batch
+// work.
+const batchSharesInterval = 500 * time.Millisecond
+
 // VM is one entry VM of the system.
 type VM struct {
 	settings Settings
@@ -73,7 +78,7 @@
 	}
 	v.courier = newCourier(v.follower, store, peers, settings.PeerAddresses)
 	revision := func() int64 { return v.follower.State().Revision() }
-	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, v.courier.hear)
+	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, func() bool { return v.runner.Busy() }, v.courier.hear)
 	v.courier.keeper = v.keeper
 	v.limiter = rate.New(rate.Config{SlotCount: settings.SlotCount, Patient: settings.RateMode == RateModePledge}, clock, v.keeper, peers, v.follower.State, metricMap("rate"))
 	v.giver = orders.New(orders.Dependencies{
@@ -111,7 +116,7 @@
 	v.jobs = operator.NewJobHandler(repository, v.announceJob)
 	v.runner = batch.NewRunner(clock, repository, v.keeper, v.caller.Executor(), ring, metricMap("batch"))
 	v.follower.OnChange(v.applyState)
-	v.keeper.OnChange(func() { v.fleet.SetState(v.follower.State(), v.vmCount()) })
+	v.keeper.OnChange(func() { v.fleet.SetState(v.follower.State(), v.neighbours()) })
 	v.keeper.OnChange(v.limiter.Nudge)
 	return v, nil
 }
@@ -178,10 +183,32 @@
 	return expvar.NewMap(name)
 }
 
-func (v *VM) vmCount() int { return max(1, len(v.keeper.Table().Members)) }
+// neighbours are the VMs that share the backend servers.
+func (v *VM) neighbours() dispatch.Neighbours {
+	return dispatch.Neighbours{Self: v.settings.VMID, Count: max(1, len(v.keeper.Table().Members)), WithBatch: v.keeper.WithBatch()}
+}
+
+// runBatchShares divides the backend servers' batch work anew whenever other
+// VMs have some.
+func (v *VM) runBatchShares(ctx context.Context) {
+	ticker := time.NewTicker(batchSharesInterval)
+	defer ticker.Stop()
+	var before []string
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if now := v.keeper.WithBatch(); !slices.Equal(now, before) {
+			before = now
+			v.fleet.SetState(v.follower.State(), v.neighbours())
+		}
+	}
+}
 
 func (v *VM) applyState(state *release.State) {
-	v.fleet.SetState(state, v.vmCount())
+	v.fleet.SetState(state, v.neighbours())
 	v.caller.EnforceState(state)
 	klog.InfoS("configuration in force", "revision", state.Revision())
 }
@@ -217,6 +244,7 @@
 	parts.start(background, v.limiter.Run)
 	parts.start(background, v.giver.Run)
 	parts.start(background, v.runner.Run)
+	parts.start(background, v.runBatchShares)
 	parts.start(background, v.segments.Run)
 	parts.start(background, v.fleet.Run)
 	parts.start(background, v.backend.Run)
--- a/dispatch/batch_policy.go
+++ b/dispatch/batch_policy.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/queue"
@@ -77,3 +78,24 @@
 		cancel(errPreempted)
 	}
 }
+
+// yieldTo ends batch attempts at a server that has become busier than batch may
+// make it, such as by online requests of other VMs; the caller holds the lock.
+func (d *Dispatcher) yieldTo(now time.Time, backendServerID string) {
+	if d.batch != BatchYield {
+		return
+	}
+	excess := d.pool.Excess(now, backendServerID, batchShare)
+	for p, cancel := range d.yielding {
+		if excess <= 0 {
+			return
+		}
+		if p.server.BackendServerID != backendServerID {
+			continue
+		}
+		delete(d.yielding, p)
+		excess--
+		d.ring.Record(timeline.KindCancel, "", backendServerID, "batch attempt yields to other VMs")
+		cancel(errPreempted)
+	}
+}
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -69,11 +69,12 @@
 	}
 }
 
-func (d *Dispatcher) setServers(servers []bergamotgrade.BackendServer, vms int) {
+func (d *Dispatcher) setServers(servers []bergamotgrade.BackendServer, vms Neighbours) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.pool.SetVMs(vms)
+	d.pool.SetVMs(vms.Count)
 	d.pool.SetServers(d.clock.Now(), servers)
+	d.pool.SetBatchVMs(vms.Self, vms.WithBatch)
 	d.pump()
 }
 
@@ -87,6 +88,7 @@
 	}
 	if item.Class == queue.ClassBatch {
 		request.Share = d.batch.share()
+		request.Batch = d.batch == BatchYield
 	}
 	if d.queue.LenOf(queue.ClassOnline) == 0 && (item.Class == queue.ClassOnline || d.queue.Len() == 0) {
 		if server, ok := d.pool.Pick(now, request); ok {
@@ -210,6 +212,7 @@
 	now := d.clock.Now()
 	if err == nil {
 		d.pool.Report(now, server.BackendServerID, report)
+		d.yieldTo(now, server.BackendServerID)
 	} else if d.pool.ProbeFailed(now, server.BackendServerID) {
 		d.ring.Record(timeline.KindStateChange, "", server.BackendServerID, "ejected: no answer to probes")
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -26,13 +26,12 @@
 	uses    useCount
 
 	mu          sync.Mutex
-	vms         int
 	dispatchers map[string]*Dispatcher
 }
 
 // New returns a fleet without servers; SetState brings them.
 func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, ring *timeline.Ring, policy route.Policy, batch BatchPolicy) *Fleet {
-	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, batch: batch, budget: newRetryBudget(), vms: 1, dispatchers: map[string]*Dispatcher{}, uses: useCount{counts: map[use]int{}}}
+	return &Fleet{clock: clock, backend: backend, ring: ring, policy: policy, batch: batch, budget: newRetryBudget(), dispatchers: map[string]*Dispatcher{}, uses: useCount{counts: map[use]int{}}}
 }
 
 // modelPool names the pool of a model; an adapter shares its base model's.
@@ -45,12 +44,20 @@
 
 func servicePool(id string) string { return "service/" + id }
 
-// SetState brings all pools in line with the configuration and the number of
-// VMs that share the servers.
-func (f *Fleet) SetState(state *release.State, vms int) {
+// Neighbours are the VMs that share the backend servers.
+type Neighbours struct {
+	// Self names this VM, Count is the number of all.
+	Self  string
+	Count int
+	// WithBatch names those that have batch work, this one included.
+	WithBatch []string
+}
+
+// SetState brings all pools in line with the configuration and the VMs that
+// share the servers.
+func (f *Fleet) SetState(state *release.State, vms Neighbours) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.vms = vms
 	wanted := wantedServers(state)
 	for name := range f.dispatchers {
 		if _, ok := wanted[name]; !ok {
--- a/limit/constants.go
+++ b/limit/constants.go
@@ -4,7 +4,7 @@
 
 const (
 	// PledgeTerm is the time for which a pledge lends a standing share.
-	PledgeTerm = time.Second
+	PledgeTerm = 1500 * time.Millisecond
 	// GrantLife is the time within which borrowed tokens must be spent.
 	GrantLife = 250 * time.Millisecond
 	// ClockMargin covers clocks that run at different rates.
--- a/member/constants.go
+++ b/member/constants.go
@@ -6,18 +6,21 @@
 	// heartbeatInterval is the time between two rounds of heartbeats.
 	heartbeatInterval = time.Second
 	// heartbeatFanout is the number of peers that one round reaches.
-	heartbeatFanout = 8
+	heartbeatFanout = 2
 	// outageFanout is the number of peers in a round while the platform gives
 	// no answer and contact with the others is what keeps a VM in service.
 	outageFanout = 128
 	// heartbeatTimeout bounds one heartbeat.
 	heartbeatTimeout = 500 * time.Millisecond
+	// reachableTerm is the time for which an answered heartbeat shows a member to
+	// be there, however many members take their turn.
+	reachableTerm = 4 * time.Second
 	// contactTerm is the time for which an answered heartbeat counts as
 	// contact.
 	contactTerm = 4 * time.Second
 	// holdMargin is how much earlier a VM stops by its own lease than the
 	// platform lets it lapse: what it lent may be spent until then.
-	holdMargin = 1500 * time.Millisecond
+	holdMargin = 2 * time.Second
 	// agreeAfter is the silence after which a member agrees to an eviction.
 	agreeAfter = contactTerm + holdMargin + 500*time.Millisecond
 	// renewParts is the number of renewals in one lease term.
@@ -29,7 +32,7 @@
 	// sweepInterval is the time between two searches for lapsed leases.
 	sweepInterval = 2 * time.Second
 	// releaseWait is the time between ceasing to lend a slot and giving it up.
-	releaseWait = 2 * time.Second
+	releaseWait = 2200 * time.Millisecond
 	// swapTries bounds the tries of one change of the table.
 	swapTries = 5
 	// askedPeers bounds the peers that are asked for the table.
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -32,6 +32,8 @@
 	ring     *timeline.Ring
 	// revision returns the configuration in force on this VM.
 	revision func() int64
+	// busy reports whether this VM has batch work.
+	busy func() bool
 	// onNews is called when a peer knows of a newer configuration.
 	onNews func(address string)
 
@@ -49,6 +51,12 @@
 	joined     bool
 	leaving    bool
 	revisions  map[string]int64
+	// failed holds the members whose last heartbeat got no answer, batch those
+	// that have batch work.
+	failed map[string]bool
+	batch  map[string]bool
+	// renewFails is set while the platform does not renew the lease.
+	renewFails bool
 	nextPeer   int
 	listeners  []func()
 	// nudged starts a round of heartbeats at once.
@@ -56,9 +64,9 @@
 }
 
 // New returns a keeper; Run joins the fleet.
-func New(config Config, clock bergamotgrade.Clock, platform bergamotgrade.Platform, peers *vm.Peers, ring *timeline.Ring, revision func() int64, onNews func(string)) *Keeper {
+func New(config Config, clock bergamotgrade.Clock, platform bergamotgrade.Platform, peers *vm.Peers, ring *timeline.Ring, revision func() int64, busy func() bool, onNews func(string)) *Keeper {
 	self := config.Record
-	self.Incarnation = uuid.NewString()
+	self.Incarnation = newIncarnation()
 	self.StartedAt = clock.Now()
 	return &Keeper{
 		config:    config,
@@ -67,15 +75,29 @@
 		peers:     peers,
 		ring:      ring,
 		revision:  revision,
+		busy:      busy,
 		onNews:    onNews,
 		self:      self,
 		contact:   NewContact(clock.Now(), self.Incarnation),
 		table:     NewTable(config.SlotCount),
 		revisions: map[string]int64{},
+		failed:    map[string]bool{},
+		batch:     map[string]bool{},
 		nudged:    make(chan struct{}, 1),
 	}
 }
 
+// newIncarnation returns a short random name, since each message carries some.
+func newIncarnation() string { return uuid.NewString()[:18] }
+
+// nudge starts a round of heartbeats at once.
+func (k *Keeper) nudge() {
+	select {
+	case k.nudged <- struct{}{}:
+	default:
+	}
+}
+
 // OnChange registers a listener for changes of the table.
 func (k *Keeper) OnChange(listener func()) {
 	k.mu.Lock()
@@ -122,7 +144,13 @@
 func (k *Keeper) Reachable(incarnation string) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return incarnation == k.self.Incarnation || k.clock.Now().Sub(k.contact.HeardAt(incarnation)) < contactTerm
+	if incarnation == k.self.Incarnation {
+		return true
+	}
+	// A member answers until its last heartbeat has failed; none is asked more
+	// often than its turn comes.
+	turn := time.Duration(len(k.table.Members)/heartbeatFanout+1) * heartbeatInterval
+	return !k.failed[incarnation] && k.clock.Now().Sub(k.contact.HeardAt(incarnation)) < reachableTerm+2*turn
 }
 
 // HeardAt returns when the member's last answered heartbeat was sent.
@@ -132,6 +160,20 @@
 	return k.contact.HeardAt(incarnation)
 }
 
+// WithBatch names the VMs that have batch work.
+func (k *Keeper) WithBatch() []string {
+	busy := k.busy()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	var names []string
+	for _, m := range k.table.Members {
+		if k.batch[m.Incarnation] && !k.failed[m.Incarnation] || m.Incarnation == k.self.Incarnation && busy {
+			names = append(names, m.VMID)
+		}
+	}
+	return names
+}
+
 // Revision returns the configuration that the member last reported.
 func (k *Keeper) Revision(incarnation string) int64 {
 	k.mu.Lock()
@@ -190,6 +232,9 @@
 func (k *Keeper) renewed(sentAt time.Time, err error) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	if k.renewFails = err != nil; k.renewFails {
+		k.nudge() // contact with the others has to take the lease's place in time
+	}
 	switch {
 	case err == nil:
 		k.contact.Renewed(sentAt, k.config.LeaseTerm)
@@ -205,7 +250,7 @@
 func (k *Keeper) join(ctx context.Context) {
 	k.mu.Lock()
 	if k.joined {
-		k.self.Incarnation = uuid.NewString()
+		k.self.Incarnation = newIncarnation()
 		k.contact = NewContact(k.clock.Now(), k.self.Incarnation)
 		k.joined = false
 	}
--- a/member/keeper_heartbeat.go
+++ b/member/keeper_heartbeat.go
@@ -20,12 +20,13 @@
 
 // nextPeers returns the members of the next round, in turn.
 func (k *Keeper) nextPeers() []bergamotgrade.VMRecord {
+	answers := k.PlatformAnswers()
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	fanout := heartbeatFanout
-	if !k.PlatformAnswers() {
+	if !answers || k.renewFails || !k.contact.LeaseHolds(k.clock.Now()) {
 		fanout = outageFanout
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
 	var others []bergamotgrade.VMRecord
 	for _, m := range k.table.Members {
 		if m.Incarnation != k.self.Incarnation {
@@ -44,10 +45,10 @@
 }
 
 func (k *Keeper) ownHeartbeat() vm.Heartbeat {
-	revision := k.revision()
+	revision, busy := k.revision(), k.busy()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return vm.Heartbeat{VMID: k.self.VMID, Incarnation: k.self.Incarnation, Revision: revision, TableEpoch: k.table.Epoch, Leaving: k.leaving}
+	return vm.Heartbeat{VMID: k.self.VMID, Incarnation: k.self.Incarnation, Revision: revision, TableEpoch: k.table.Epoch, Leaving: k.leaving, Batch: busy}
 }
 
 func (k *Keeper) heartbeat(ctx context.Context, peer bergamotgrade.VMRecord) {
@@ -56,10 +57,12 @@
 	own := k.ownHeartbeat()
 	sentAt := k.clock.Now()
 	answer, err := k.peers.Heartbeat(ctx, peer.InnerAddress, own)
-	if err != nil || answer.Incarnation != peer.Incarnation {
+	k.mu.Lock()
+	k.failed[peer.Incarnation] = err != nil || answer.Incarnation != peer.Incarnation
+	if k.failed[peer.Incarnation] {
+		k.mu.Unlock()
 		return
 	}
-	k.mu.Lock()
 	if !answer.Refused {
 		k.contact.Heard(peer.Incarnation, sentAt)
 	}
@@ -72,6 +75,7 @@
 
 // learn takes what a heartbeat says of its sender; the caller holds the lock.
 func (k *Keeper) learn(beat vm.Heartbeat) {
+	k.batch[beat.Incarnation] = beat.Batch
 	k.revisions[beat.Incarnation] = max(k.revisions[beat.Incarnation], beat.Revision)
 	if beat.TableEpoch > k.table.Epoch {
 		k.tableReadAt = k.tableReadAt.Add(-tableInterval) // read it in the next round
--- a/member/keeper_table.go
+++ b/member/keeper_table.go
@@ -78,10 +78,7 @@
 		keep[m.InnerAddress] = true
 	}
 	k.peers.Forget(keep)
-	select {
-	case k.nudged <- struct{}{}:
-	default:
-	}
+	k.nudge()
 	for _, listener := range listeners {
 		listener()
 	}
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -277,19 +277,19 @@
 		return answer
 	}
 	for _, share := range call.Released {
-		if share.Partition >= 0 && share.Partition < partitionCount {
-			l.partitions[share.Partition].broker.Release(now, call.Incarnation, share.PledgeID)
+		if share.Partition() >= 0 && share.Partition() < partitionCount {
+			l.partitions[share.Partition()].broker.Release(now, call.Incarnation, share.PledgeID())
 		}
 	}
 	for _, share := range call.Pledges {
-		if share.Partition < 0 || share.Partition >= partitionCount || share.Stamp <= 0 {
+		if share.Partition() < 0 || share.Partition() >= partitionCount || call.Stamp <= 0 {
 			continue
 		}
-		l.partitions[share.Partition].broker.Take(now, limit.Pledge{
+		l.partitions[share.Partition()].broker.Take(now, limit.Pledge{
 			GiverID:   call.Incarnation,
-			PledgeID:  share.PledgeID,
-			Slots:     share.Slots,
-			MadeAfter: l.started.Add(time.Duration(share.Stamp)),
+			PledgeID:  share.PledgeID(),
+			Slots:     call.Slots,
+			MadeAfter: l.started.Add(time.Duration(call.Stamp)),
 		})
 	}
 	return answer
--- a/rate/pledger.go
+++ b/rate/pledger.go
@@ -99,7 +99,7 @@
 	l.mu.Lock()
 	call.Incarnation = l.incarnation
 	for _, i := range partitions {
-		call.Released = append(call.Released, vm.Share{Partition: i, PledgeID: l.partitions[i].wallet.Retract()})
+		call.Released = append(call.Released, vm.Share{i, l.partitions[i].wallet.Retract()})
 	}
 	l.mu.Unlock()
 	if l.send(ctx, broker, call) != nil {
@@ -111,7 +111,7 @@
 		return
 	}
 	for _, share := range call.Released {
-		l.partitions[share.Partition].wallet.Released(l.clock.Now(), share.PledgeID)
+		l.partitions[share.Partition()].wallet.Released(l.clock.Now(), share.PledgeID())
 	}
 }
 
@@ -164,7 +164,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, share := range call.Pledges {
-		l.partitions[share.Partition].acknowledge(l.clock.Now(), broker.Incarnation)
+		l.partitions[share.Partition()].acknowledge(l.clock.Now(), broker.Incarnation)
 	}
 }
 
@@ -206,14 +206,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.Now()
-	call := vm.PledgeCall{BrokerID: broker, Incarnation: l.incarnation}
+	call := vm.PledgeCall{BrokerID: broker, Incarnation: l.incarnation, Stamp: l.stamps[broker].value}
 	for _, i := range partitions {
 		wallet := l.partitions[i].wallet
 		if !wallet.MayPledge(now, broker) {
 			continue
 		}
-		id := wallet.Pledge(now, broker)
-		call.Pledges = append(call.Pledges, vm.Share{Partition: i, PledgeID: id, Slots: wallet.Slots(), Stamp: l.stamps[broker].value})
+		call.Slots = wallet.Slots()
+		call.Pledges = append(call.Pledges, vm.Share{i, wallet.Pledge(now, broker)})
 	}
 	return call
 }
--- a/route/constants.go
+++ b/route/constants.go
@@ -10,7 +10,7 @@
 	localityRanks = 2
 	// loadBound is the share of the mean load that a server with the prefix may
 	// carry before others are preferred.
-	loadBound = 1.25
+	loadBound = 1.0
 	// reportLife is the age at which a load report counts no more.
 	reportLife = 2 * time.Second
 	// smoothing is the weight of a new report against the mean before it.
--- a/route/pool.go
+++ b/route/pool.go
@@ -40,6 +40,8 @@
 	pollTurn int
 	// vms is the number of VMs that share the servers.
 	vms int
+	// batchMine holds the servers whose batch work falls to this VM.
+	batchMine map[string]bool
 }
 
 // NewPool returns an empty pool; random breaks ties and draws samples.
@@ -50,6 +52,32 @@
 // SetVMs sets the number of VMs that share the servers.
 func (p *Pool) SetVMs(vms int) { p.vms = max(1, vms) }
 
+// SetBatchVMs divides the servers between the VMs that have batch work, by
+// rendezvous hashing: a server's batch work comes from one VM, which knows all
+// of it without delay. Without any VM all servers fall to this one.
+func (p *Pool) SetBatchVMs(self string, vms []string) {
+	p.batchMine = map[string]bool{}
+	for _, id := range p.order {
+		best, bestScore := self, uint64(0)
+		for _, vm := range vms {
+			if score := mix(xxhash.Sum64String(vm) ^ xxhash.Sum64String(id)); score >= bestScore {
+				best, bestScore = vm, score
+			}
+		}
+		p.batchMine[id] = best == self
+	}
+}
+
+// Excess returns how many requests a server has beyond the part of its slots
+// that batch may fill.
+func (p *Pool) Excess(now time.Time, id string, share float64) int {
+	s, ok := p.servers[id]
+	if !ok {
+		return 0
+	}
+	return max(0, s.load(now)-int(share*float64(s.record.Slots)))
+}
+
 // SetServers replaces the records. Known servers keep their history; a server
 // that is gone stays until its requests have finished, but gets no new ones.
 func (p *Pool) SetServers(now time.Time, records []bergamotgrade.BackendServer) {
@@ -115,6 +143,8 @@
 	Avoid map[string]bool
 	// Only limits the choice to some servers of the pool; nil allows all.
 	Only map[string]bool
+	// Batch limits the choice to servers whose batch work falls to this VM.
+	Batch bool
 	// Share bounds the part of a server's slots that may be in use afterwards;
 	// zero allows all of them.
 	Share float64
@@ -154,6 +184,7 @@
 		s := p.servers[id]
 		switch {
 		case s.record.Leaving || (request.Only != nil && !request.Only[id]):
+		case request.Batch && !p.batchMine[id]:
 		case s.ejected(now) || request.Avoid[id]:
 			fallback = append(fallback, s)
 		default:
--- a/vm/message.go
+++ b/vm/message.go
@@ -31,6 +31,8 @@
 	Revision    int64  `json:"revision"`
 	TableEpoch  int64  `json:"table_epoch"`
 	Leaving     bool   `json:"leaving,omitempty"`
+	// Batch is set while the VM has batch work.
+	Batch bool `json:"batch,omitempty"`
 }
 
 // HeartbeatAnswer is the peer's own heartbeat.
@@ -75,26 +77,30 @@
 }
 
 // PledgeCall lends the sender's standing shares of some partitions to the
-// receiver.
+// receiver, and takes others back.
 type PledgeCall struct {
 	// BrokerID is the incarnation that the pledges are meant for.
-	BrokerID    string  `json:"broker_id"`
-	Incarnation string  `json:"incarnation"`
-	Pledges     []Share `json:"pledges,omitempty"`
+	BrokerID    string `json:"broker_id"`
+	Incarnation string `json:"incarnation"`
+	// Slots is the number of standing shares that each pledge lends.
+	Slots int `json:"slots,omitempty"`
+	// Stamp is the receiver's clock in its last answer, in nanoseconds since
+	// its start; zero if there was none.
+	Stamp   int64   `json:"stamp,omitempty"`
+	Pledges []Share `json:"pledges,omitempty"`
 	// Released lists pledges that the receiver is to drop.
 	Released []Share `json:"released,omitempty"`
 }
 
-// Share is the pledge for one partition of teams.
-type Share struct {
-	Partition int `json:"partition"`
-	// PledgeID stays the same while the pledge has not been interrupted.
-	PledgeID int `json:"pledge_id"`
-	Slots    int `json:"slots,omitempty"`
-	// Stamp is the receiver's clock in its last answer, in nanoseconds since
-	// its start; zero if there was none.
-	Stamp int64 `json:"stamp,omitempty"`
-}
+// Share names the pledge for one partition of teams: the partition's number and
+// the pledge's id, which stays the same while the lending is not interrupted.
+type Share [2]int
+
+// Partition returns the number of the partition.
+func (s Share) Partition() int { return s[0] }
+
+// PledgeID returns the id of the pledge.
+func (s Share) PledgeID() int { return s[1] }
 
 // PledgeAnswer carries the receiver's clock for the next pledge.
 type PledgeAnswer struct {
