--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -7,11 +7,11 @@
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
@@ -46,11 +46,13 @@
 	services  []string
 	pids      []int
 	revision  int64
+	number    int64
+	ports     int
 }
 
 // Start runs the processes of a fleet and waits until all VMs are ready.
 func Start(ctx context.Context, binaries string, shape Shape) (*Fleet, error) {
-	f := &Fleet{shape: shape, binaries: binaries}
+	f := &Fleet{shape: shape, binaries: binaries, number: fleets.Add(1)}
 	if err := f.start(ctx); err != nil {
 		f.Stop()
 		return nil, err
@@ -134,22 +136,20 @@
 	return strings.TrimSpace(line), err
 }
 
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
+// fleets counts the fleets of this process.
+var fleets atomic.Int64
+
+// nextAddress returns a loopback address of this fleet alone, with a port that
+// no outgoing connection takes.
+func (f *Fleet) nextAddress() string {
+	f.ports++
+	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number%250, firstPort+f.ports)
 }
 
 func (f *Fleet) startVM(index int, platform string) error {
 	var addresses [3]string
 	for i := range addresses {
-		var err error
-		if addresses[i], err = freeAddress(); err != nil {
-			return err
-		}
+		addresses[i] = f.nextAddress()
 	}
 	args := []string{
 		"serve", "--vm-id", fmt.Sprintf("vm%03d", index), "--data-centre", fmt.Sprintf("dc%d", index%f.shape.DataCentres),
@@ -216,7 +216,7 @@
 				break
 			}
 			if time.Now().After(deadline) {
-				return fmt.Errorf("VM at %s is not ready within %v: %+v", address, startTimeout, status.Reason)
+				return fmt.Errorf("VM at %s is not ready within %v: revision %d, rates settled %t, slots %v, %d members, reason %q", address, startTimeout, status.Revision, status.RatesSettled, status.Slots, len(status.Members), status.Reason)
 			}
 			time.Sleep(pollPause)
 		}
--- a/route/constants.go
+++ b/route/constants.go
@@ -10,9 +10,12 @@
 	localityRanks = 2
 	// loadBound is the share of the mean load that a server with the prefix may
 	// carry before others are preferred.
-	loadBound = 1.0
+	loadBound = 1.25
 	// reportLife is the age at which a load report counts no more.
 	reportLife = 2 * time.Second
+	// localityShare is the share of a server's slots up to which locality fills
+	// it: the rest is for what lagging reports do not show yet.
+	localityShare = 0.75
 	// smoothing is the weight of a new report against the mean before it.
 	smoothing = 0.25
 	// failuresToEject is the number of failures in a row that eject a server.
--- a/route/pool.go
+++ b/route/pool.go
@@ -243,7 +243,8 @@
 			continue
 		}
 		lightly := s.load(now) < s.record.Slots/4
-		if lightly || s.score(now) <= bound {
+		margin := float64(s.load(now)+1) <= localityShare*float64(s.record.Slots)
+		if lightly || (margin && s.score(now) <= bound) {
 			return s
 		}
 	}
