Spread equal loads to the server used longest ago; divide batch by jobs

Cause: loads that differ by less than reports can tell were compared, so that chance or the order of names decided and servers filled unevenly; round robin had the even spread for free.

A script of route asked that an avoided server come last even where all are ejected; it had passed by luck and failed with the new choice; mended in the code.

--- a/batch/runner.go
+++ b/batch/runner.go
@@ -113,11 +113,11 @@
 	r.jobs.Wait()
 }
 
-// Busy reports whether this VM has batch work.
-func (r *Runner) Busy() bool {
+// Jobs returns the number of jobs that run on this VM.
+func (r *Runner) Jobs() int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return len(r.running) > 0
+	return len(r.running)
 }
 
 func (r *Runner) isStopping() bool {
--- a/cmd/measure/main.go
+++ b/cmd/measure/main.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"slices"
 
 	"github.com/spf13/cobra"
 
@@ -18,7 +19,7 @@
 	var out string
 	root := &cobra.Command{Use: "measure", Short: "Measure fleets on this machine", SilenceUsage: true}
 	root.PersistentFlags().StringVar(&out, "json", "measure.json", "`file` for the figures as JSON")
-	var parts []string
+	var parts, shapes []string
 	run := &cobra.Command{
 		Use:   "run",
 		Short: "Measure routing, batch and rates at the sizes of today",
@@ -26,6 +27,9 @@
 			return withBinaries(func(binaries string) error {
 				var reports []measure.Report
 				for _, shape := range measure.Shapes() {
+					if len(shapes) > 0 && !slices.Contains(shapes, shape.Name) {
+						continue
+					}
 					report, err := measure.Run(command.Context(), binaries, shape, parts, command.OutOrStdout())
 					if err != nil {
 						return err
@@ -37,6 +41,7 @@
 		},
 	}
 	run.Flags().StringSliceVar(&parts, "parts", measure.Parts(), "`parts` to measure")
+	run.Flags().StringSliceVar(&shapes, "shapes", nil, "`sizes` to measure: trust, authority; all if left out")
 	root.AddCommand(run, &cobra.Command{
 		Use:   "slopes",
 		Short: "Measure the cost of control against teams, VMs and backend servers",
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -78,7 +78,7 @@
 	}
 	v.courier = newCourier(v.follower, store, peers, settings.PeerAddresses)
 	revision := func() int64 { return v.follower.State().Revision() }
-	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, func() bool { return v.runner.Busy() }, v.courier.hear)
+	v.keeper = member.New(keeperConfig(settings), clock, service, peers, ring, revision, func() int { return v.runner.Jobs() }, v.courier.hear)
 	v.courier.keeper = v.keeper
 	v.limiter = rate.New(rate.Config{SlotCount: settings.SlotCount, Patient: settings.RateMode == RateModePledge}, clock, v.keeper, peers, v.follower.State, metricMap("rate"))
 	v.giver = orders.New(orders.Dependencies{
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -49,7 +49,7 @@
 	// Self names this VM, Count is the number of all.
 	Self  string
 	Count int
-	// WithBatch names those that have batch work, this one included.
+	// WithBatch names those that run batch jobs, once for each job.
 	WithBatch []string
 }
 
--- a/measure/report.go
+++ b/measure/report.go
@@ -95,7 +95,7 @@
 
 func (r *Report) routing(ctx context.Context, binaries string, shape Shape, w io.Writer) error {
 	shape.Rate, shape.Burst = 10000, 10000
-	for _, policy := range []route.Policy{route.PolicyLocality, route.PolicyPowerOfTwo, route.PolicyLeastInFlight, route.PolicyRoundRobin} {
+	for _, policy := range []route.Policy{route.PolicyLocality, route.PolicySpread, route.PolicyPowerOfTwo, route.PolicyLeastInFlight, route.PolicyRoundRobin} {
 		shape.VMFlags = []string{"--route-policy", string(policy)}
 		fleet, err := Start(ctx, binaries, shape)
 		if err != nil {
--- a/member/constants.go
+++ b/member/constants.go
@@ -15,6 +15,8 @@
 	// reachableTerm is the time for which an answered heartbeat shows a member to
 	// be there, however many members take their turn.
 	reachableTerm = 4 * time.Second
+	// maxBatchParts bounds the parts of the batch work that one VM takes.
+	maxBatchParts = 16
 	// contactTerm is the time for which an answered heartbeat counts as
 	// contact.
 	contactTerm = 4 * time.Second
--- a/member/keeper.go
+++ b/member/keeper.go
@@ -32,8 +32,8 @@
 	ring     *timeline.Ring
 	// revision returns the configuration in force on this VM.
 	revision func() int64
-	// busy reports whether this VM has batch work.
-	busy func() bool
+	// jobs returns the number of batch jobs that run on this VM.
+	jobs func() int
 	// onNews is called when a peer knows of a newer configuration.
 	onNews func(address string)
 
@@ -51,10 +51,10 @@
 	joined     bool
 	leaving    bool
 	revisions  map[string]int64
-	// failed holds the members whose last heartbeat got no answer, batch those
-	// that have batch work.
+	// failed holds the members whose last heartbeat got no answer.
 	failed map[string]bool
-	batch  map[string]bool
+	// jobCounts holds the number of batch jobs of each member.
+	jobCounts map[string]int
 	// renewFails is set while the platform does not renew the lease.
 	renewFails bool
 	nextPeer   int
@@ -64,7 +64,7 @@
 }
 
 // New returns a keeper; Run joins the fleet.
-func New(config Config, clock bergamotgrade.Clock, platform bergamotgrade.Platform, peers *vm.Peers, ring *timeline.Ring, revision func() int64, busy func() bool, onNews func(string)) *Keeper {
+func New(config Config, clock bergamotgrade.Clock, platform bergamotgrade.Platform, peers *vm.Peers, ring *timeline.Ring, revision func() int64, jobs func() int, onNews func(string)) *Keeper {
 	self := config.Record
 	self.Incarnation = newIncarnation()
 	self.StartedAt = clock.Now()
@@ -75,14 +75,14 @@
 		peers:     peers,
 		ring:      ring,
 		revision:  revision,
-		busy:      busy,
+		jobs:      jobs,
 		onNews:    onNews,
 		self:      self,
 		contact:   NewContact(clock.Now(), self.Incarnation),
 		table:     NewTable(config.SlotCount),
 		revisions: map[string]int64{},
 		failed:    map[string]bool{},
-		batch:     map[string]bool{},
+		jobCounts: map[string]int{},
 		nudged:    make(chan struct{}, 1),
 	}
 }
@@ -160,15 +160,30 @@
 	return k.contact.HeardAt(incarnation)
 }
 
-// WithBatch names the VMs that have batch work.
+// WithBatch names the VMs that run batch jobs, once for each job, in an order
+// that takes them in turn.
 func (k *Keeper) WithBatch() []string {
-	busy := k.busy()
+	own := k.jobs()
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	counts := make([]int, len(k.table.Members))
+	most := 0
+	for i, m := range k.table.Members {
+		switch {
+		case m.Incarnation == k.self.Incarnation:
+			counts[i] = own
+		case !k.failed[m.Incarnation]:
+			counts[i] = k.jobCounts[m.Incarnation]
+		}
+		counts[i] = min(counts[i], maxBatchParts)
+		most = max(most, counts[i])
+	}
 	var names []string
-	for _, m := range k.table.Members {
-		if k.batch[m.Incarnation] && !k.failed[m.Incarnation] || m.Incarnation == k.self.Incarnation && busy {
-			names = append(names, m.VMID)
+	for turn := range most {
+		for i, m := range k.table.Members {
+			if counts[i] > turn {
+				names = append(names, m.VMID)
+			}
 		}
 	}
 	return names
--- a/member/keeper_heartbeat.go
+++ b/member/keeper_heartbeat.go
@@ -45,10 +45,10 @@
 }
 
 func (k *Keeper) ownHeartbeat() vm.Heartbeat {
-	revision, busy := k.revision(), k.busy()
+	revision, jobs := k.revision(), k.jobs()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return vm.Heartbeat{VMID: k.self.VMID, Incarnation: k.self.Incarnation, Revision: revision, TableEpoch: k.table.Epoch, Leaving: k.leaving, Batch: busy}
+	return vm.Heartbeat{VMID: k.self.VMID, Incarnation: k.self.Incarnation, Revision: revision, TableEpoch: k.table.Epoch, Leaving: k.leaving, Jobs: jobs}
 }
 
 func (k *Keeper) heartbeat(ctx context.Context, peer bergamotgrade.VMRecord) {
@@ -75,7 +75,7 @@
 
 // learn takes what a heartbeat says of its sender; the caller holds the lock.
 func (k *Keeper) learn(beat vm.Heartbeat) {
-	k.batch[beat.Incarnation] = beat.Batch
+	k.jobCounts[beat.Incarnation] = beat.Jobs
 	k.revisions[beat.Incarnation] = max(k.revisions[beat.Incarnation], beat.Revision)
 	if beat.TableEpoch > k.table.Epoch {
 		k.tableReadAt = k.tableReadAt.Add(-tableInterval) // read it in the next round
--- a/route/constants.go
+++ b/route/constants.go
@@ -5,6 +5,11 @@
 const (
 	// choices is the number of servers compared for a request without locality.
 	choices = 2
+	// scoreStep is the difference in load, in parts of a server's slots, below
+	// which servers count as equally loaded.
+	scoreStep = 0.25
+	// firstStart is above the random starting places of servers never used.
+	firstStart = 1 << 20
 	// localityRanks is the number of servers that share a hot prefix before it
 	// spreads over all.
 	localityRanks = 2
--- a/route/history.go
+++ b/route/history.go
@@ -22,6 +22,8 @@
 // Start records a dispatch to the server.
 func (p *Pool) Start(id string) {
 	if s, ok := p.servers[id]; ok {
+		p.starts++
+		s.lastStart = p.starts
 		s.inFlight++
 	}
 }
--- a/route/pool.go
+++ b/route/pool.go
@@ -18,6 +18,7 @@
 // The policies; the first is the product's, the others are baselines.
 const (
 	PolicyLocality      Policy = "locality"
+	PolicySpread        Policy = "spread"
 	PolicyPowerOfTwo    Policy = "power_of_two"
 	PolicyRoundRobin    Policy = "round_robin"
 	PolicyLeastInFlight Policy = "least_in_flight"
@@ -25,7 +26,7 @@
 
 // Policies returns all policies.
 func Policies() []Policy {
-	return []Policy{PolicyLocality, PolicyPowerOfTwo, PolicyRoundRobin, PolicyLeastInFlight}
+	return []Policy{PolicyLocality, PolicySpread, PolicyPowerOfTwo, PolicyRoundRobin, PolicyLeastInFlight}
 }
 
 // Pool chooses among the backend servers of one model or service. It is not
@@ -36,6 +37,8 @@
 	servers map[string]*server
 	order   []string
 	turn    int
+	// starts counts dispatches, to tell which server was used longest ago.
+	starts int
 	// pollTurn is the place in order of the unused server asked last.
 	pollTurn int
 	// vms is the number of VMs that share the servers.
@@ -46,25 +49,20 @@
 
 // NewPool returns an empty pool; random breaks ties and draws samples.
 func NewPool(policy Policy, random *rand.Rand) *Pool {
-	return &Pool{policy: policy, random: random, servers: map[string]*server{}, vms: 1}
+	return &Pool{policy: policy, random: random, servers: map[string]*server{}, vms: 1, starts: firstStart}
 }
 
 // SetVMs sets the number of VMs that share the servers.
 func (p *Pool) SetVMs(vms int) { p.vms = max(1, vms) }
 
-// SetBatchVMs divides the servers between the VMs that have batch work, by
-// rendezvous hashing: a server's batch work comes from one VM, which knows all
-// of it without delay. Without any VM all servers fall to this one.
+// SetBatchVMs divides the servers between the VMs that have batch work: a
+// server's batch work comes from one VM, which knows all of it without delay. A
+// VM that is named several times gets as many parts; without any name all
+// servers fall to this VM.
 func (p *Pool) SetBatchVMs(self string, vms []string) {
 	p.batchMine = map[string]bool{}
-	for _, id := range p.order {
-		best, bestScore := self, uint64(0)
-		for _, vm := range vms {
-			if score := mix(xxhash.Sum64String(vm) ^ xxhash.Sum64String(id)); score >= bestScore {
-				best, bestScore = vm, score
-			}
-		}
-		p.batchMine[id] = best == self
+	for i, id := range p.order {
+		p.batchMine[id] = len(vms) == 0 || vms[i%len(vms)] == self
 	}
 }
 
@@ -87,7 +85,7 @@
 		listed[record.BackendServerID] = true
 		known, ok := p.servers[record.BackendServerID]
 		if !ok {
-			known = &server{warmFrom: now}
+			known = &server{warmFrom: now, lastStart: p.random.IntN(firstStart)}
 			if first {
 				known.warmFrom = now.Add(-slowStart)
 			}
@@ -171,28 +169,35 @@
 		if local := p.local(now, request, candidates); local != nil {
 			return local
 		}
+	case PolicyPowerOfTwo:
+		return p.sample(now, candidates)
 	}
-	return p.sample(now, candidates)
+	return p.spread(now, candidates)
 }
 
 // candidates returns the servers with room: not leaving, not ejected, not
 // avoided. Where none has room, those count of which this VM uses less than its
 // share. Ejection and avoidance give way before the pool is empty.
 func (p *Pool) candidates(now time.Time, request Request) []*server {
-	var sound, fallback []*server
+	var sound, ejected, avoided []*server
 	for _, id := range p.order {
 		s := p.servers[id]
 		switch {
 		case s.record.Leaving || (request.Only != nil && !request.Only[id]):
 		case request.Batch && !p.batchMine[id]:
-		case s.ejected(now) || request.Avoid[id]:
-			fallback = append(fallback, s)
+		case request.Avoid[id]:
+			avoided = append(avoided, s)
+		case s.ejected(now):
+			ejected = append(ejected, s)
 		default:
 			sound = append(sound, s)
 		}
 	}
 	if len(sound) == 0 {
-		sound = fallback
+		sound = ejected
+	}
+	if len(sound) == 0 {
+		sound = avoided
 	}
 	var roomy, shared []*server
 	share := p.share()
@@ -301,6 +306,20 @@
 	return sum / float64(max(1, count))
 }
 
+// spread returns the least loaded server. Loads within a step of each other are
+// as good as equal, since reports lag; of those the one used longest ago is
+// taken, which spreads requests evenly.
+func (p *Pool) spread(now time.Time, candidates []*server) *server {
+	best := candidates[0]
+	for _, s := range candidates[1:] {
+		step, bestStep := int(s.score(now)/scoreStep), int(best.score(now)/scoreStep)
+		if step < bestStep || (step == bestStep && s.lastStart < best.lastStart) {
+			best = s
+		}
+	}
+	return best
+}
+
 // sample compares a few random servers and returns the least loaded.
 func (p *Pool) sample(now time.Time, candidates []*server) *server {
 	best := candidates[p.random.IntN(len(candidates))]
--- a/route/server.go
+++ b/route/server.go
@@ -16,6 +16,8 @@
 	reportedOthers int
 	smoothOthers   float64
 	reportedAt     time.Time
+	// lastStart is the pool's count of dispatches at the last one to the server.
+	lastStart int
 	// usedAt is when the last attempt at the server ended.
 	usedAt time.Time
 
--- a/vm/message.go
+++ b/vm/message.go
@@ -31,8 +31,8 @@
 	Revision    int64  `json:"revision"`
 	TableEpoch  int64  `json:"table_epoch"`
 	Leaving     bool   `json:"leaving,omitempty"`
-	// Batch is set while the VM has batch work.
-	Batch bool `json:"batch,omitempty"`
+	// Jobs is the number of batch jobs that run on the VM.
+	Jobs int `json:"jobs,omitempty"`
 }
 
 // HeartbeatAnswer is the peer's own heartbeat.
