--- a/batch/range_work.go
+++ b/batch/range_work.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -37,7 +36,7 @@
 			return
 		}
 		job, _, err := w.runner.repository.Job(ctx, "", w.job.JobID)
-		if err != nil && w.runner.members.LeaseHolds() && sleep(ctx, retryPause) {
+		if err != nil && w.runner.members.LeaseHolds() && bergamotgrade.Sleep(ctx, retryPause) {
 			continue
 		}
 		if err != nil || job.Status != JobInProgress || !w.runner.members.LeaseHolds() {
@@ -82,7 +81,7 @@
 		if bergamotgrade.IsKind(err, bergamotgrade.KindConflict) {
 			return w.readBack(ctx, next)
 		}
-		if !sleep(ctx, retryPause) {
+		if !bergamotgrade.Sleep(ctx, retryPause) {
 			return false
 		}
 	}
@@ -113,7 +112,7 @@
 	first, end := w.progress.Next(w.file.Once)
 	items, err := w.runner.repository.Items(ctx, w.file, first, end)
 	if err != nil {
-		return sleep(ctx, retryPause)
+		return bergamotgrade.Sleep(ctx, retryPause)
 	}
 	if w.file.Once && w.progress.Intended < end && !w.swap(ctx, w.progress.Intend(end)) {
 		return false
@@ -175,7 +174,7 @@
 		if segments, err = w.runner.repository.packResults(ctx, prefix, first, results); err == nil {
 			break
 		}
-		if !w.runner.members.LeaseHolds() || !sleep(ctx, retryPause) {
+		if !w.runner.members.LeaseHolds() || !bergamotgrade.Sleep(ctx, retryPause) {
 			return false
 		}
 	}
@@ -198,15 +197,3 @@
 	w.runner.metrics.Add("items_completed", int64(len(results)))
 	return true
 }
-
-// sleep pauses and reports whether the context still runs.
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/caller/executor.go
+++ b/caller/executor.go
@@ -101,12 +101,8 @@
 		if failures >= itemTries || !e.repeatable(item, failure) {
 			return batch.Result{Error: &batch.ResultError{Code: string(failure.Kind()), Message: failure.Message() + "; " + failure.Remedy()}}, nil
 		}
-		timer := time.NewTimer(itemPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !bergamotgrade.Sleep(ctx, itemPause) {
 			return batch.Result{}, context.Cause(ctx)
-		case <-timer.C:
 		}
 	}
 }
--- a/clock.go
+++ b/clock.go
@@ -1,6 +1,9 @@
 package bergamotgrade
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Clock tells the time to decision code, so that tests can pass their own.
 type Clock interface {
@@ -14,3 +17,15 @@
 
 // Now returns time.Now.
 func (SystemClock) Now() time.Time { return time.Now() }
+
+// Sleep pauses and reports whether the context still runs.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/daemon/demo.go
+++ b/daemon/demo.go
@@ -60,7 +60,7 @@
 	if err := d.addBackends(&note.Set); err != nil {
 		return err
 	}
-	if _, err := release.NewStore(keyValue).Submit(ctx, note, nil); err != nil {
+	if _, err := release.NewStore(keyValue).Submit(ctx, note, release.NewState(), nil); err != nil {
 		return err
 	}
 	vm, err := New(demoSettings(platformAddress))
--- a/daemon/notes.go
+++ b/daemon/notes.go
@@ -168,7 +168,7 @@
 
 // Submit implements operator.NoteService.
 func (c *courier) Submit(ctx context.Context, note release.Note) (int64, error) {
-	revision, err := c.store.Submit(ctx, note, c.announce)
+	revision, err := c.store.Submit(ctx, note, c.follower.State(), c.announce)
 	if err != nil {
 		return 0, err
 	}
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -75,7 +75,6 @@
 }
 
 func wantedServers(state *release.State) map[string][]bergamotgrade.BackendServer {
-	records := state.Records()
 	wanted := map[string][]bergamotgrade.BackendServer{}
 	listed := map[string]bool{}
 	add := func(pool string, ids []string) {
@@ -87,10 +86,10 @@
 			}
 		}
 	}
-	for _, model := range records.Models {
+	for _, model := range state.Models() {
 		add(modelPool(model), model.BackendServerIDs)
 	}
-	for _, service := range records.Services {
+	for _, service := range state.Services() {
 		add(servicePool(service.ServiceID), service.BackendServerIDs)
 	}
 	return wanted
--- a/idempotency/store.go
+++ b/idempotency/store.go
@@ -93,10 +93,8 @@
 		return revision, nil
 	}
 	if bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
-		select {
-		case <-ctx.Done():
+		if !bergamotgrade.Sleep(ctx, readBackPause) {
 			return 0, err
-		case <-time.After(readBackPause):
 		}
 	}
 	found, entryRevision, readErr := s.read(ctx, entryKey)
--- a/limit/static.go
+++ b/limit/static.go
@@ -55,12 +55,8 @@
 		if err == nil {
 			return nil
 		}
-		timer := time.NewTimer(staticPause)
-		select {
-		case <-ctx.Done():
-			timer.Stop()
+		if !bergamotgrade.Sleep(ctx, staticPause) {
 			return context.Cause(ctx)
-		case <-timer.C:
 		}
 	}
 }
--- a/orders/giver.go
+++ b/orders/giver.go
@@ -109,7 +109,7 @@
 func (g *Giver) mine() []bergamotgrade.BackendServer {
 	state := g.state()
 	plain := map[string]bool{}
-	for _, service := range state.Records().Services {
+	for _, service := range state.Services() {
 		for _, id := range service.BackendServerIDs {
 			plain[id] = true
 		}
--- a/orders/plan.go
+++ b/orders/plan.go
@@ -13,7 +13,7 @@
 // the configuration lists, loads before unloads. It is pure.
 func Plan(state *release.State, backendServerID string, loaded map[string]string, fence int64) []bergamotgrade.EngineOrder {
 	wanted := map[string]string{}
-	for _, model := range state.Records().Models {
+	for _, model := range state.Models() {
 		for _, id := range model.BackendServerIDs {
 			if id == backendServerID {
 				wanted[model.ModelID] = model.Version
--- a/rate/batch.go
+++ b/rate/batch.go
@@ -46,7 +46,7 @@
 			return err
 		}
 		pause := min(batchPause, max(retryPause, bergamotgrade.AsError(err).RetryAt().Sub(l.clock.Now())))
-		sleep(ctx, pause)
+		bergamotgrade.Sleep(ctx, pause)
 	}
 }
 
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -143,7 +143,7 @@
 			return unavailable(now)
 		}
 		if pause := retryAt.Sub(now); pause > 0 {
-			sleep(ctx, pause)
+			bergamotgrade.Sleep(ctx, pause)
 		}
 	}
 }
@@ -295,15 +295,6 @@
 	return answer
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
-
 func cutOff(now time.Time) error {
 	return bergamotgrade.NewError(bergamotgrade.KindNotReady, "this VM is cut off from the platform and from most other VMs", "try again at another VM").WithNotRun().WithRetryAt(now.Add(time.Second))
 }
--- a/release/follower.go
+++ b/release/follower.go
@@ -214,7 +214,7 @@
 func (f *Follower) loopWatch(ctx context.Context, isReader func() bool, changed chan<- struct{}) {
 	for ctx.Err() == nil {
 		if !isReader() {
-			sleep(ctx, failurePause)
+			bergamotgrade.Sleep(ctx, failurePause)
 			continue
 		}
 		head, after, err := f.store.Head(ctx)
@@ -222,7 +222,7 @@
 			err = f.store.Watch(ctx, after)
 		}
 		if err != nil {
-			sleep(ctx, failurePause)
+			bergamotgrade.Sleep(ctx, failurePause)
 			continue
 		}
 		select {
@@ -231,12 +231,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -73,7 +73,7 @@
 			switch random.IntN(6) {
 			case 0:
 				note := Note{NoteID: fmt.Sprintf("note%d", step/2), BaseRevision: f.State().Revision(), Set: Records{Teams: []bergamotgrade.Team{{TeamID: fmt.Sprint("team", step/2), Rate: 1, Burst: 1}}}}
-				_, _ = store.submitOnce(ctx, note, nil)
+				_, _ = store.submitOnce(ctx, note, f.State(), nil)
 			case 1:
 				other := followers[random.IntN(len(followers))]
 				if notes, ok := other.NotesAbove(f.State().Revision()); ok {
--- a/release/state.go
+++ b/release/state.go
@@ -1,8 +1,6 @@
 package release
 
 import (
-	"maps"
-	"slices"
 	"sort"
 
 	"github.com/bergamotgrade/bergamotgrade"
@@ -59,14 +57,13 @@
 func (s *State) ModelIDs() []string { return sortedKeys(s.models) }
 
 // BackendServers returns all backend servers by id.
-func (s *State) BackendServers() []bergamotgrade.BackendServer {
-	servers := make([]bergamotgrade.BackendServer, 0, s.backendServers.size)
-	for _, id := range sortedKeys(s.backendServers) {
-		server, _ := s.backendServers.get(id)
-		servers = append(servers, server)
-	}
-	return servers
-}
+func (s *State) BackendServers() []bergamotgrade.BackendServer { return sortedValues(s.backendServers) }
+
+// Models returns all models by id.
+func (s *State) Models() []bergamotgrade.Model { return sortedValues(s.models) }
+
+// Services returns all plain services by id.
+func (s *State) Services() []bergamotgrade.Service { return sortedValues(s.services) }
 
 // Records returns the whole state as one set of records, each kind by id.
 func (s *State) Records() Records {
@@ -130,16 +127,16 @@
 }
 
 func sortedKeys[V any](m shardMap[V]) []string {
-	keys := maps.Collect(m.all())
-	return slices.Sorted(maps.Keys(keys))
-}
-
-func sortedValues[V any](m shardMap[V]) []V {
 	keys := make([]string, 0, m.size)
 	for key := range m.all() {
 		keys = append(keys, key)
 	}
 	sort.Strings(keys)
+	return keys
+}
+
+func sortedValues[V any](m shardMap[V]) []V {
+	keys := sortedKeys(m)
 	values := make([]V, 0, len(keys))
 	for _, key := range keys {
 		value, _ := m.get(key)
--- a/release/store.go
+++ b/release/store.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -125,24 +124,22 @@
 
 // Submit accepts the note by one compare-and-swap on the head and returns its
 // revision. A note that was accepted before returns its first revision.
-// announce, if not nil, is called with the note before the swap and can refuse
-// it.
-func (s *Store) Submit(ctx context.Context, note Note, announce Announce) (int64, error) {
+// It reads the configuration from the base state on. announce, if not nil, is
+// called with the note before the swap and can refuse it.
+func (s *Store) Submit(ctx context.Context, note Note, base *State, announce Announce) (int64, error) {
 	for {
-		revision, err := s.submitOnce(ctx, note, announce)
+		revision, err := s.submitOnce(ctx, note, base, announce)
 		if !bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
 			return revision, err
 		}
 		// The swap may have taken effect; the next round reads it back.
-		select {
-		case <-ctx.Done():
+		if !bergamotgrade.Sleep(ctx, failurePause) {
 			return 0, err
-		case <-time.After(failurePause):
 		}
 	}
 }
 
-func (s *Store) submitOnce(ctx context.Context, note Note, announce Announce) (int64, error) {
+func (s *Store) submitOnce(ctx context.Context, note Note, base *State, announce Announce) (int64, error) {
 	head, headRevision, err := s.Head(ctx)
 	if err != nil {
 		return 0, err
@@ -155,7 +152,7 @@
 			fmt.Sprintf("the note was made for revision %d but revision %d is in force", note.BaseRevision, head.Revision),
 			"read the newer notes with `bergamotctl note history`, check the note again and submit it with the new base_revision")
 	}
-	state, _, err := s.Load(ctx, NewState())
+	state, _, err := s.Load(ctx, base)
 	if err != nil {
 		return 0, err
 	}
--- a/route/pool_test.go
+++ b/route/pool_test.go
@@ -3,36 +3,18 @@
 import (
 	"fmt"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
 	"strings"
 	"testing"
 	"time"
 
-	qt "github.com/frankban/quicktest"
-
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/scripttest"
 )
 
-// TestPoolScripts runs each file of testdata: one step a line, with the
-// expected outcome behind "->".
 func TestPoolScripts(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txt")
-	qt.Assert(t, err, qt.IsNil)
-	for _, file := range files {
-		t.Run(filepath.Base(file), func(t *testing.T) {
-			data, err := os.ReadFile(file)
-			qt.Assert(t, err, qt.IsNil)
-			s := &poolScript{now: time.Unix(1000, 0)}
-			for number, line := range strings.Split(string(data), "\n") {
-				line, _, _ = strings.Cut(line, "#")
-				step, want, _ := strings.Cut(line, "->")
-				if fields := strings.Fields(step); len(fields) > 0 {
-					qt.Assert(t, s.step(fields), qt.Equals, strings.TrimSpace(want), qt.Commentf("line %d: %s", number+1, line))
-				}
-			}
-		})
-	}
+	scripttest.Run(t, func() scripttest.Step {
+		return (&poolScript{now: time.Unix(1000, 0)}).step
+	})
 }
 
 // poolScript is the state of one script.
