Try a disk VM again, and give bulk data connections of its own

Seen under the race detector: an upload was refused because two of three disk VMs took nothing (batch_disks.txtar, one run of two). Cause as far as the code shows: a control call that times out closes the connection that all calls to that VM share, and with it a transfer under way; not seen directly. The integration tests now fail when a process reports a data race; the run that failed above reported none.

--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -97,7 +97,10 @@
 	if err != nil {
 		return nil, err
 	}
-	v.segments = disk.NewSegments(folder, v.keeper, peers, batch.NewPlatformSegments(service, clock, settings.BatchBytes))
+	// Bulk data has connections of its own: a control call that times out closes
+	// its connection, and a large transfer would delay heartbeats.
+	bulkPeers := vm.NewPeers(settings.InnerSecret, metricMap("inner"))
+	v.segments = disk.NewSegments(folder, v.keeper, bulkPeers, batch.NewPlatformSegments(service, clock, settings.BatchBytes))
 	repository := batch.NewRepository(service, v.segments, clock)
 	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
 		Clock:    clock,
--- a/disk/segments.go
+++ b/disk/segments.go
@@ -15,6 +15,8 @@
 const (
 	// copies is the number of disk VMs that hold each segment.
 	copies = 2
+	// putTries is the number of tries at one disk VM.
+	putTries = 2
 	// callTimeout bounds one transfer to or from a disk VM.
 	callTimeout = 5 * time.Second
 )
@@ -81,7 +83,7 @@
 	ref := bergamotgrade.SegmentRef{Key: key, Bytes: len(data), Hash: xxhash.Sum64(data)}
 	taken := map[string]bool{}
 	for _, disk := range disks {
-		if taken[disk.DataCentre] || !s.putAt(ctx, disk, ref, data) {
+		if taken[disk.DataCentre] || !s.putAgain(ctx, disk, ref, data) {
 			continue
 		}
 		taken[disk.DataCentre] = true
@@ -92,6 +94,17 @@
 	return ref, bergamotgrade.NewError(bergamotgrade.KindOverloaded, "no two disk VMs of different data centres took the data", "try again; operators: see the disk VMs' free space and links").WithNotRun()
 }
 
+// putAgain stores a segment on a disk VM, with a second try after a failure that
+// may have been the connection's.
+func (s *Segments) putAgain(ctx context.Context, disk bergamotgrade.VMRecord, ref bergamotgrade.SegmentRef, data []byte) bool {
+	for range putTries {
+		if s.putAt(ctx, disk, ref, data) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Segments) putAt(ctx context.Context, disk bergamotgrade.VMRecord, ref bergamotgrade.SegmentRef, data []byte) bool {
 	call := vm.SegmentCall{Key: ref.Key, Hash: ref.Hash, Data: data}
 	if disk.Incarnation == s.members.Self().Incarnation {
--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -68,6 +69,7 @@
 	command *exec.Cmd
 	args    []string
 	log     *os.File
+	logPath string
 	done    chan struct{}
 }
 
@@ -88,7 +90,7 @@
 	command.Stderr = log
 	command.Stdout = stdout
 	f.ts.Check(command.Start())
-	p := &process{command: command, args: args, log: log, done: make(chan struct{})}
+	p := &process{command: command, args: args, log: log, logPath: log.Name(), done: make(chan struct{})}
 	f.processes[name] = p
 	go p.run()
 }
@@ -121,13 +123,17 @@
 	return p.Address()
 }
 
-func (f *fleet) close() {
+// close ends all processes and fails the test if one has reported a data race.
+func (f *fleet) close(t *testing.T) {
 	for _, p := range f.proxies {
 		p.Close()
 	}
-	for _, p := range f.processes {
+	for name, p := range f.processes {
 		_ = p.command.Process.Kill()
 		<-p.done
+		if log, err := os.ReadFile(p.logPath); err == nil && bytes.Contains(log, []byte("DATA RACE")) {
+			t.Errorf("%s reported a data race:\n%s", name, log)
+		}
 	}
 }
 
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -29,7 +29,7 @@
 		Setup: func(env *testscript.Env) error {
 			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}, number: fleets.Add(1)}
 			env.Values[fleetKey{}] = f
-			env.Defer(f.close)
+			env.Defer(func() { f.close(t) })
 			return nil
 		},
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
