Say 'not run' only when it is true, also when a deadline passes

Found while reading: when the deadline passed during an attempt, the end of the context was looked at before whether the attempt may have run, so a call that a plain service was running was refused as not run (deadline.txtar before: 504 with X-Not-Run: true), and its idempotency record was deleted.

--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -107,22 +107,27 @@
 // mayRetry records the failure of an attempt and returns nil if another one is
 // allowed, or the error for the caller.
 func (r *run) mayRetry(ctx context.Context, place *place, err error, idempotent bool) error {
-	if ctx.Err() != nil {
+	var dispatch *bergamotgrade.DispatchError
+	failed := errors.As(err, &dispatch)
+	// Whether the request may have run comes first: a deadline or a caller's
+	// leaving does not change it.
+	r.maybeRan = r.maybeRan || !failed || dispatch.MaybeRan()
+	if ctx.Err() != nil || !failed {
 		place.release(route.OutcomeAbandoned)
+	} else {
+		place.release(route.OutcomeFailed)
+	}
+	if failed && dispatch.MaybeRan() && !idempotent {
+		return bergamotgrade.NewError(bergamotgrade.KindOutcomeUnknown, "the backend server gave no answer and may have run the request", "check its effect before sending it again").WithCause(err)
+	}
+	if ctx.Err() != nil {
 		return r.ended(ctx)
 	}
-	var dispatch *bergamotgrade.DispatchError
-	if !errors.As(err, &dispatch) {
-		place.release(route.OutcomeAbandoned)
+	if !failed {
 		return err
 	}
-	place.release(route.OutcomeFailed)
-	r.maybeRan = r.maybeRan || dispatch.MaybeRan()
 	r.request.Avoid[place.server.BackendServerID] = true
 	r.fleet.ring.Record(timeline.KindFail, r.requestID, place.server.BackendServerID, err.Error())
-	if dispatch.MaybeRan() && !idempotent {
-		return bergamotgrade.NewError(bergamotgrade.KindOutcomeUnknown, "the backend server gave no answer and may have run the request", "check its effect before sending it again").WithCause(err)
-	}
 	if !r.fleet.clock.Now().Before(r.deadline) {
 		return r.late()
 	}
