Leave 'not run' open where an Idempotency-Key may have run before

Cause: a resend that was refused, because the platform did not answer or for its rate, said not_run although the first request with its key may have run; a caller who believes it sends the work again under a new key.

--- a/caller/server.go
+++ b/caller/server.go
@@ -145,6 +145,11 @@
 		return
 	}
 	failure := bergamotgrade.AsError(err)
+	if x.req.Header.Get(headerIdempotencyKey) != "" && failure.Kind() != bergamotgrade.KindKeyReused {
+		// An earlier request with the key may have run; sending it again with the
+		// same key is safe in any case.
+		failure = failure.WithoutNotRun()
+	}
 	s.deps.Metrics.Add("failed_"+string(failure.Kind()), 1)
 	s.deps.Ring.Record(timeline.KindRefuse, x.requestID, "", string(failure.Kind()))
 	writeError(x.w, failure, x.requestID, s.deps.Clock.Now())
--- a/errors.go
+++ b/errors.go
@@ -87,6 +87,13 @@
 	return &next
 }
 
+// WithoutNotRun returns a copy that leaves open whether the request has run.
+func (e *Error) WithoutNotRun() *Error {
+	next := *e
+	next.notRun = false
+	return &next
+}
+
 // WithRetryAt returns a copy that names the earliest time for another try.
 func (e *Error) WithRetryAt(at time.Time) *Error {
 	next := *e
