--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -76,7 +76,7 @@
 	flags.DurationVar(&s.DrainQuiet, "drain-quiet", time.Second, "`time` without a new connection that ends accepting")
 	flags.DurationVar(&s.DrainTimeout, "drain-timeout", 10*time.Minute, "longest `time` for finishing requests on a stop")
 	flags.DurationVar(&s.LeaseTerm, "lease-term", 10*time.Second, "`term` of this VM's platform lease")
-	flags.StringVar(&s.RoutePolicy, "route-policy", string(route.PolicyLocality), "routing `policy`: locality, spread, power_of_two, round_robin or least_in_flight")
+	flags.StringVar(&s.RoutePolicy, "route-policy", string(route.PolicySpread), "routing `policy`: locality, spread, power_of_two, round_robin or least_in_flight")
 	flags.StringVar(&s.RateMode, "rate-mode", RateModePledge, "rate sharing `mode`: pledge, lending or static")
 	flags.StringVar(&s.BatchPolicy, "batch-policy", string(dispatch.BatchYield), "batch `policy`: yield, cap or none")
 	flags.Int64Var(&s.BatchBytes, "batch-platform-bytes", 16<<20, "largest input file in `bytes` while there are no disk VMs in two data centres")
--- a/route/pool.go
+++ b/route/pool.go
@@ -15,7 +15,8 @@
 // Policy names a way to choose among the servers with room.
 type Policy string
 
-// The policies; the first is the product's, the others are baselines.
+// The policies. Spread is the default; locality trades the tail of the first
+// token for its median; the others are baselines.
 const (
 	PolicyLocality      Policy = "locality"
 	PolicySpread        Policy = "spread"
