Remove what the change had left unused

Read once more as a whole. Nothing called or read: the call priorities of the root package (the platform client decides by method), the backend client's Forget, the bucket's Rate and Capacity, the retry counter, the follower's wake-up channel that nobody signalled, the life in a loan's answer (both sides use limit.GrantLife), the queue event, and a call in the drain that set a server's default.

--- a/backend/client.go
+++ b/backend/client.go
@@ -69,16 +69,6 @@
 	return opened
 }
 
-// Forget closes the idle connections to a server that is gone.
-func (c *Client) Forget(server bergamotgrade.BackendServer) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if gone, ok := c.hosts[server.Address]; ok {
-		gone.kept.CloseIdleConnections()
-		delete(c.hosts, server.Address)
-	}
-}
-
 // sendTrace tells whether a request got a connection, after which the server
 // may have seen any part of it.
 type sendTrace struct {
--- a/caller/drain.go
+++ b/caller/drain.go
@@ -11,7 +11,6 @@
 // arrived for the quiet period, and then waits for all requests to finish.
 func (s *Server) Drain(ctx context.Context, server *http.Server, notice, quiet time.Duration) error {
 	s.draining.Store(true)
-	server.SetKeepAlivesEnabled(true)
 	noticeEnd := time.Now().Add(notice)
 	ticker := time.NewTicker(max(quiet/10, time.Millisecond))
 	defer ticker.Stop()
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -55,7 +55,6 @@
 	fleet    *dispatch.Fleet
 	backend  *backend.Client
 	caller   *caller.Server
-	wake     chan struct{}
 	// ratesSeen is set once all standing shares were held and lent.
 	ratesSeen atomic.Bool
 }
@@ -74,7 +73,6 @@
 		follower: release.NewFollower(clock, store, ring),
 		fleet:    dispatch.New(clock, client, ring, route.Policy(settings.RoutePolicy), dispatch.BatchPolicy(settings.BatchPolicy)),
 		backend:  client,
-		wake:     make(chan struct{}, 1),
 	}
 	v.courier = newCourier(v.follower, store, peers, settings.PeerAddresses)
 	revision := func() int64 { return v.follower.State().Revision() }
@@ -241,7 +239,7 @@
 		return err
 	}
 	var parts group
-	parts.start(background, func(ctx context.Context) { v.follower.Run(ctx, v.wake, v.keeper.IsReader) })
+	parts.start(background, func(ctx context.Context) { v.follower.Run(ctx, v.keeper.IsReader) })
 	parts.start(background, v.courier.run)
 	parts.start(background, v.keeper.Run)
 	parts.start(background, v.limiter.Run)
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -134,7 +134,6 @@
 	if r.attempt >= maxAttempts || !r.fleet.budget.take() {
 		return r.refuse(bergamotgrade.NewError(bergamotgrade.KindBackendFailed, "the backend servers failed the request", "try again").WithCause(err))
 	}
-	r.fleet.retries.Add(1)
 	r.fleet.ring.Record(timeline.KindRetry, r.requestID, place.server.BackendServerID, "")
 	time.Sleep(retryPause)
 	return nil
--- a/dispatch/fleet.go
+++ b/dispatch/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,7 +21,6 @@
 	policy  route.Policy
 	batch   BatchPolicy
 	budget  *retryBudget
-	retries atomic.Int64
 	uses    useCount
 
 	mu          sync.Mutex
@@ -146,9 +144,6 @@
 	return total
 }
 
-// Retries returns the number of retries since the start.
-func (f *Fleet) Retries() int64 { return f.retries.Load() }
-
 // PrefixHash identifies the model or adapter with the begin of the prompt.
 func PrefixHash(modelID string, prompt []byte) uint64 {
 	var digest xxhash.Digest
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -61,12 +61,6 @@
 	return b.level
 }
 
-// Rate returns the tokens that come each second.
-func (b *Bucket) Rate() float64 { return b.rate }
-
-// Capacity returns the most tokens that the bucket holds.
-func (b *Bucket) Capacity() float64 { return b.capacity }
-
 // ReadyAt returns when the bucket will hold n tokens, or false if it never
 // will.
 func (b *Bucket) ReadyAt(now time.Time, n float64) (time.Time, bool) {
--- a/platform.go
+++ b/platform.go
@@ -14,16 +14,6 @@
 	Revision int64 `json:"revision"`
 }
 
-// CallPriority orders calls that wait for the platform call budget.
-type CallPriority int
-
-// The priorities, the most urgent first.
-const (
-	PriorityLease CallPriority = iota
-	PriorityControl
-	PriorityBulk
-)
-
 // Platform is the operators' key-value service: the only thing that agrees or
 // keeps. Every method fails with KindPlatformDown when the service gave no
 // answer; the call may have taken effect then.
--- a/rate/limiter.go
+++ b/rate/limiter.go
@@ -261,7 +261,7 @@
 	grant := lend(now, call.TeamID, limit.LimitsOf(team), call.Tokens, call.Settled)
 	if grant.Tokens >= 1 {
 		l.metrics.Add("lent", int64(grant.Tokens))
-		return vm.BorrowAnswer{GrantID: grant.ID, Tokens: grant.Tokens, Life: limit.GrantLife}
+		return vm.BorrowAnswer{GrantID: grant.ID, Tokens: grant.Tokens}
 	}
 	return vm.BorrowAnswer{RetryFor: grant.RetryAt.Sub(now), Unready: grant.Unready}
 }
--- a/release/follower.go
+++ b/release/follower.go
@@ -185,9 +185,9 @@
 }
 
 // Run reads the head at least once in each poll interval until the context
-// ends; a wake-up makes it read at once. The VM that is the reader of its data
+// ends. The VM that is the reader of its data
 // centre also keeps a watch on the head.
-func (f *Follower) Run(ctx context.Context, wake <-chan struct{}, isReader func() bool) {
+func (f *Follower) Run(ctx context.Context, isReader func() bool) {
 	var watch sync.WaitGroup
 	defer watch.Wait()
 	changed := make(chan struct{}, 1)
@@ -202,7 +202,6 @@
 		case <-ctx.Done():
 			timer.Stop()
 			return
-		case <-wake:
 		case <-changed:
 		case <-timer.C:
 		}
--- a/timeline/event.go
+++ b/timeline/event.go
@@ -11,7 +11,6 @@
 const (
 	KindAccept      Kind = "accept"
 	KindRefuse      Kind = "refuse"
-	KindQueue       Kind = "queue"
 	KindDispatch    Kind = "dispatch"
 	KindFirstToken  Kind = "first_token"
 	KindTokenGap    Kind = "token_gap"
--- a/vm/message.go
+++ b/vm/message.go
@@ -119,12 +119,11 @@
 	Settled []uint64 `json:"settled,omitempty"`
 }
 
-// BorrowAnswer lends tokens that must be spent within Life after the call was
-// sent, or says when to ask again.
+// BorrowAnswer lends tokens that must be spent within limit.GrantLife after the
+// call was sent, or says when to ask again.
 type BorrowAnswer struct {
 	GrantID  uint64        `json:"grant_id,omitempty"`
 	Tokens   float64       `json:"tokens,omitempty"`
-	Life     time.Duration `json:"life,omitempty"`
 	RetryFor time.Duration `json:"retry_for,omitempty"`
 	// Unready is set while too few shares are pledged to lend any token.
 	Unready bool `json:"unready,omitempty"`
