--- /dev/null
+++ b/cmd/bergamot-vm/main.go
@@ -0,0 +1,17 @@
+// Command bergamot-vm is one VM of the system on the users' platform.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+
+	"github.com/bergamotgrade/bergamotgrade/entry"
+)
+
+func main() {
+	if err := entry.Execute(context.Background()); err != nil {
+		fmt.Fprintln(os.Stderr, "bergamot-vm:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/entry/command.go
@@ -0,0 +1,46 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/spf13/cobra"
+)
+
+// NewCommand returns the command line of a VM on the users' platform.
+func NewCommand() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "bergamot-vm",
+		Short:         "Run one VM of the system on the users' platform",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newRoleCommand("entry", "Take callers' requests"),
+		newRoleCommand("disk", "Run batch items on a disk VM"),
+	)
+	return root
+}
+
+func newRoleCommand(name, short string) *cobra.Command {
+	var metricsPort int
+	command := &cobra.Command{
+		Use:   name,
+		Short: short,
+		Long: short + ". The settings file is the one that the environment variable\n" +
+			"BERGAMOTGRADE_BOOT names. SIGTERM stops the VM without cutting a request;\n" +
+			"SIGHUP has the settings read again.",
+		Args: cobra.NoArgs,
+		RunE: func(command *cobra.Command, _ []string) error {
+			if err := Main(command.Context(), metricsPort); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			return nil
+		},
+	}
+	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page; 0 serves none")
+	return command
+}
+
+// Execute runs the command line with the process's arguments.
+func Execute(ctx context.Context) error { return NewCommand().ExecuteContext(ctx) }
--- /dev/null
+++ b/entry/node.go
@@ -0,0 +1,458 @@
+// Package entry puts together one VM on the users' platform: a VM that takes
+// callers' requests, or a disk VM, which runs batch items.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"runtime/debug"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/follow"
+	"github.com/bergamotgrade/bergamotgrade/gossip"
+	"github.com/bergamotgrade/bergamotgrade/jobs"
+	"github.com/bergamotgrade/bergamotgrade/placement"
+	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/relay"
+	"github.com/bergamotgrade/bergamotgrade/vm"
+)
+
+// methodCopy asks a VM for its copy of a prefix of the platform's store.
+const methodCopy = "copy"
+
+// copyCall is the question for a copy that is newer than a revision.
+type copyCall struct {
+	Prefix string `json:"prefix"`
+	Above  int64  `json:"above"`
+}
+
+// Node is one VM.
+type Node struct {
+	settings    bergamotgrade.NodeSettings
+	metricsPort int
+	clock       bergamotgrade.Clock
+	incarnation int64
+	log         *slog.Logger
+	metrics     *Metrics
+
+	kv         bergamotgrade.KeyValue
+	view       *view
+	desk       *relay.Desk
+	engine     *platform.Engine
+	gossip     *gossip.Node
+	peers      *vm.Peers
+	inner      *vm.Server
+	membership *membership
+	ledger     *jobs.Ledger
+	runner     *jobs.Runner
+	caller     *platform.Caller
+	mirrors    map[string]*follow.Mirror
+
+	mu      sync.Mutex
+	servers map[string]bergamotgrade.ServerRecord
+	// unreadable holds registry entries that were reported as such.
+	unreadable map[string]int64
+}
+
+// New returns a VM with the settings; Run serves.
+func New(settings bergamotgrade.NodeSettings, metricsPort int, log *slog.Logger) (*Node, error) {
+	n := &Node{
+		settings: settings, metricsPort: metricsPort, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
+		log: log, metrics: NewMetrics(), unreadable: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
+	}
+	callers := settings.CallerAddress != ""
+	n.kv = platform.NewStore(settings.StoreAddress, n.metrics.Map("store_calls"))
+	n.view = newView(n.clock, settings.VMID, n.incarnation, callers, log)
+	n.engine = platform.NewEngine(n.metrics.Map("backend"))
+	n.desk = relay.NewDesk(n.clock, placement.NewBoard(settings.VMID, settings.DataCentre), n.announce)
+	inner := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
+	var err error
+	if n.gossip, err = gossip.New(inner, n.account, n.hear, n.metrics.Map("gossip"), log); err != nil {
+		return nil, err
+	}
+	n.peers = vm.NewPeers("", n.metrics.Map("inner"))
+	n.inner = vm.NewFuncServer("", n.serveInner, n.metrics.Map("inner"))
+	n.membership = &membership{
+		kv: n.kv, term: max(memberTerm, settings.StoreLeaseMin), log: log,
+		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: inner, DataCentre: settings.DataCentre, Callers: callers},
+	}
+	n.ledger = jobs.NewLedger(log)
+	repository := jobs.NewRepository(n.kv, n.ledger, settings.StoreValueBytes)
+	service := jobs.NewService(n.clock, repository, n.ledger, n.view.RunnerFor, log)
+	n.runner = jobs.NewRunner(jobs.Config{
+		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Desk: n.desk, Exchanger: n.engine,
+		Repository: repository, Ledger: n.ledger, Observer: n.metrics, Log: log, StatusLife: settings.JobStatusLife,
+	})
+	n.caller = platform.NewCaller(n.view, relay.New(n.clock, n.desk, n.engine, log, n.metrics), service, n.metrics, log)
+	n.mirrors = map[string]*follow.Mirror{}
+	for prefix, onChange := range map[string]func(map[string]bergamotgrade.Entry){
+		platform.OperatorPrefix: n.setOperator,
+		platform.ServerPrefix:   n.setServers,
+		memberPrefix:            n.setMembers,
+		jobs.HeadPrefix:         n.ledger.SetEntries,
+	} {
+		n.mirrors[prefix] = follow.NewMirror(n.kv, n.clock, prefix, n.copyFromPeers, onChange, log)
+	}
+	n.registerGauges()
+	return n, nil
+}
+
+func (n *Node) registerGauges() {
+	n.metrics.Gauge("config_version", func() int64 { return max(0, n.view.versionInForce()) })
+	n.metrics.Gauge("jobs_owned", func() int64 { jobs, _ := n.runner.Count(); return int64(jobs) })
+	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
+	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
+	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
+}
+
+// announce tells peers of this VM's new load. The desk calls it.
+func (n *Node) announce() {
+	if n.gossip != nil {
+		n.gossip.Changed()
+	}
+}
+
+// account is what this VM tells its peers.
+func (n *Node) account() gossip.Message {
+	message := gossip.Message{
+		VMID: n.settings.VMID, Incarnation: n.incarnation, Version: max(0, n.view.versionInForce()),
+		Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
+		Admitted: n.view.admitted(),
+	}
+	for id, load := range n.desk.Load() {
+		message.Load = append(message.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
+	}
+	return message
+}
+
+// hear takes a peer's account.
+func (n *Node) hear(message gossip.Message) {
+	if message.VMID == n.settings.VMID {
+		return
+	}
+	callers := n.view.hear(message)
+	byServer := make(map[string]placement.Load, len(message.Load))
+	for _, load := range message.Load {
+		byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
+	}
+	n.desk.SetPeer(message.VMID, byServer, callers)
+	if message.Version > n.view.versionInForce() {
+		n.mirrors[platform.OperatorPrefix].Nudge()
+	}
+}
+
+// serveInner answers the calls of other VMs.
+func (n *Node) serveInner(_ context.Context, method string, params *json.RawMessage) (any, error) {
+	if method != methodCopy || params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
+	}
+	return vm.Answer(*params, func(call copyCall) any {
+		mirror, ok := n.mirrors[call.Prefix]
+		if !ok {
+			return follow.Copy{}
+		}
+		copied, _ := mirror.Copy(call.Above)
+		return copied
+	})
+}
+
+// copyFromPeers asks peers for a copy of the prefix that is newer than this VM's.
+func (n *Node) copyFromPeers(ctx context.Context, prefix string, above int64) (follow.Copy, bool) {
+	sources := n.view.copySources(copyPeers)
+	if len(sources) == 0 {
+		// Without any member list the seeds are all that is known.
+		for _, seed := range n.settings.Seeds {
+			if seed != n.settings.IP {
+				sources = append(sources, net.JoinHostPort(seed, strconv.Itoa(n.settings.InnerPort)))
+			}
+		}
+	}
+	for _, address := range sources {
+		callCtx, cancel := context.WithTimeout(ctx, copyTimeout)
+		copied, err := vm.Call[follow.Copy](callCtx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Above: above})
+		cancel()
+		if err == nil && copied.Revision > above {
+			return copied, true
+		}
+	}
+	return follow.Copy{}, false
+}
+
+// setOperator takes what the operator has written.
+func (n *Node) setOperator(entries map[string]bergamotgrade.Entry) {
+	if entry, ok := entries[platform.ConfigurationKey]; ok {
+		n.view.setConfiguration(entry)
+		n.announce()
+	}
+	n.answerRetirement(entries)
+}
+
+// answerRetirement says that this VM is empty when it is to be retired: all jobs
+// are kept in the platform's store, and the ones that it owns go to others.
+func (n *Node) answerRetirement(entries map[string]bergamotgrade.Entry) {
+	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; !ok {
+		return
+	}
+	n.view.leave()
+	n.runner.Stop()
+	n.announce()
+	ctx, cancel := context.WithTimeout(context.Background(), memberTerm)
+	defer cancel()
+	write := platform.RetirementDone(n.settings.VMID)
+	if _, err := n.kv.Commit(ctx, bergamotgrade.KeyCommit{Writes: []bergamotgrade.KeyWrite{write}}); err != nil {
+		n.log.Warn("retirement not answered yet", "cause", err.Error())
+		return
+	}
+	n.log.Info("retirement answered: this VM keeps nothing")
+}
+
+// setServers takes the registry of backend servers.
+func (n *Node) setServers(entries map[string]bergamotgrade.Entry) {
+	records := make(map[string]bergamotgrade.ServerRecord, len(entries))
+	n.mu.Lock()
+	for key, entry := range entries {
+		record, err := platform.DecodeServer(entry)
+		if err != nil {
+			if n.unreadable[key] == 0 {
+				n.log.Warn("registry entry names no usable backend server", "key", key, "revision", entry.Revision, "cause", err.Error())
+			}
+			n.unreadable[key] = entry.Revision
+			continue
+		}
+		records[record.ServerID] = record
+	}
+	before := n.servers
+	n.servers = records
+	n.mu.Unlock()
+	for id, record := range records {
+		if known, ok := before[id]; !ok || known != record {
+			n.log.Info("backend server registered", "server", id, "service", record.Service, "address", record.Address, "draining", record.Draining, "started_at", record.StartedAt)
+		}
+	}
+	for id := range before {
+		if _, ok := records[id]; !ok {
+			n.log.Info("backend server gone", "server", id)
+		}
+	}
+	n.desk.SetServers(records)
+}
+
+func (n *Node) serverRecords() map[string]bergamotgrade.ServerRecord {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.servers
+}
+
+func (n *Node) setMembers(entries map[string]bergamotgrade.Entry) {
+	n.view.setMembers(entries)
+	n.gossip.SetPeers(n.view.peerAddresses())
+	n.announce()
+	n.runner.Wake()
+}
+
+// ready reports whether this VM takes new connections of callers.
+func (n *Node) ready() bool {
+	return !n.view.Leaving() && n.view.Configuration() != nil &&
+		n.mirrors[platform.ServerPrefix].Loaded() && n.mirrors[memberPrefix].Loaded()
+}
+
+// Run serves until the context ends, then stops without cutting a request.
+func (n *Node) Run(ctx context.Context) error {
+	n.log.Info("starting", "incarnation", n.incarnation, "data_centre", n.settings.DataCentre, "callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	workCtx, stopWork := context.WithCancel(context.Background())
+	var work sync.WaitGroup
+	for _, run := range []func(context.Context){
+		n.membership.run, n.gossip.RunSender, n.gossip.RunReceiver, n.runner.Run, n.runUpkeep,
+		func(ctx context.Context) { n.inner.Run(ctx, listeners["inner"]) },
+	} {
+		work.Go(func() { run(workCtx) })
+	}
+	for _, mirror := range n.mirrors {
+		work.Go(func() { mirror.Run(workCtx) })
+		work.Go(func() { mirror.RunNudged(workCtx) })
+	}
+	servers := n.httpServers()
+	for name, server := range servers {
+		work.Go(func() {
+			if err := server.Serve(listeners[name]); err != nil && err != http.ErrServerClosed {
+				n.log.Error("server ended", "server", name, "cause", err.Error())
+			}
+		})
+	}
+	<-ctx.Done()
+	n.stop(servers)
+	stopWork()
+	work.Wait()
+	n.log.Info("stopped")
+	return nil
+}
+
+// listen opens all listeners by name.
+func (n *Node) listen() (map[string]net.Listener, error) {
+	addresses := map[string]string{"inner": net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InnerPort))}
+	for name, address := range map[string]string{"callers": n.settings.CallerAddress, "ready": n.settings.ReadyAddress} {
+		if address != "" {
+			addresses[name] = address
+		}
+	}
+	if n.metricsPort > 0 {
+		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.metricsPort))
+	}
+	listeners := make(map[string]net.Listener, len(addresses))
+	for name, address := range addresses {
+		listener, err := net.Listen("tcp4", address)
+		if err != nil {
+			return nil, err
+		}
+		listeners[name] = listener
+	}
+	return listeners, nil
+}
+
+// httpServers returns the HTTP servers by the names of their listeners.
+func (n *Node) httpServers() map[string]*http.Server {
+	servers := map[string]*http.Server{}
+	if n.settings.CallerAddress != "" {
+		servers["callers"] = platform.NewServer(n.caller)
+	}
+	if n.settings.ReadyAddress != "" {
+		servers["ready"] = platform.NewServer(platform.NewReadyHandler(n.ready))
+	}
+	if n.metricsPort > 0 {
+		servers["metrics"] = platform.NewServer(n.metrics)
+	}
+	return servers
+}
+
+// stop finishes all requests within the grace period.
+func (n *Node) stop(servers map[string]*http.Server) {
+	endAt := time.Now().Add(n.settings.StopGrace - leaveReserve)
+	n.log.Info("stopping", "grace", n.settings.StopGrace.String())
+	n.view.leave()
+	n.announce()
+	n.runner.Stop()
+	ctx, cancel := context.WithDeadline(context.Background(), endAt)
+	defer cancel()
+	if server, ok := servers["callers"]; ok {
+		bergamotgrade.Sleep(ctx, leaveNotice)
+		if err := server.Shutdown(ctx); err != nil {
+			n.log.Warn("requests were still running at the end of the grace period", "cause", err.Error())
+			_ = server.Close()
+		}
+	}
+	for _, server := range servers {
+		_ = server.Close()
+	}
+	endCtx, cancelEnd := context.WithTimeout(context.Background(), leaveReserve/2)
+	defer cancelEnd()
+	n.membership.end(endCtx)
+}
+
+// runUpkeep does what is due from time to time.
+func (n *Node) runUpkeep(ctx context.Context) {
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	pruneAt := n.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		n.desk.Expire()
+		if now := n.clock.Now(); now.After(pruneAt) {
+			pruneAt = now.Add(pruneInterval)
+			n.engine.Prune(now, n.serverRecords())
+		}
+	}
+}
+
+// Main runs one VM by the settings file of the platform until SIGTERM.
+func Main(ctx context.Context, metricsPort int) error {
+	path := platform.SettingsPath()
+	settings, err := platform.ReadSettings(path)
+	if err != nil {
+		return err
+	}
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(settings.MemoryBytes)))
+	}
+	writer := newLogWriter(os.Stdout)
+	log := newLogger(writer, settings.VMID)
+	logCtx, stopLog := context.WithCancel(context.Background())
+	var logging sync.WaitGroup
+	logging.Go(func() { writer.run(logCtx) })
+	defer logging.Wait()
+	defer stopLog()
+	node, err := New(settings, metricsPort, log)
+	if err != nil {
+		return err
+	}
+	node.metrics.Gauge("log_lines_dropped", writer.dropped.Load)
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	reload := &reloader{path: path, current: settings, log: log, signals: make(chan os.Signal, 1)}
+	signal.Notify(reload.signals, syscall.SIGHUP)
+	logging.Go(func() { reload.run(logCtx) })
+	return node.Run(ctx)
+}
+
+// reloader reads the settings file again when it changes. All settings that are
+// in use name addresses of this process, so a change takes effect at its next
+// start; a faulty file is reported at once.
+type reloader struct {
+	path    string
+	current bergamotgrade.NodeSettings
+	log     *slog.Logger
+	signals chan os.Signal
+	last    string
+}
+
+func (r *reloader) run(ctx context.Context) {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+			r.log.Info("reloading settings", "cause", "SIGHUP")
+		case <-ticker.C:
+		}
+		r.reload()
+	}
+}
+
+func (r *reloader) reload() {
+	data, err := os.ReadFile(filepath.Clean(r.path))
+	if err != nil || string(data) == r.last {
+		return
+	}
+	first := r.last == ""
+	r.last = string(data)
+	settings, err := platform.DecodeSettings(data)
+	if err != nil {
+		r.log.Error("settings have faults; the former ones stay in use", "cause", err.Error())
+		return
+	}
+	if !first {
+		r.log.Info("settings read", "seeds", strings.Join(settings.Seeds, ","), "store", settings.StoreAddress, "takes_effect", "at the next start")
+	}
+}
--- /dev/null
+++ b/entry/view.go
@@ -0,0 +1,274 @@
+package entry
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/gossip"
+	"github.com/bergamotgrade/bergamotgrade/limit"
+	"github.com/bergamotgrade/bergamotgrade/platform"
+)
+
+// memberPrefix is where VMs register themselves in the platform's store.
+const memberPrefix = "vm/"
+
+// member is what a VM says of itself in the store.
+type member struct {
+	VMID         string `json:"vm_id"`
+	Incarnation  int64  `json:"incarnation"`
+	InnerAddress string `json:"inner_address"`
+	DataCentre   string `json:"data_centre"`
+	// Callers is set on VMs that take requests of callers.
+	Callers bool `json:"callers"`
+}
+
+// peer is what was heard of another VM.
+type peer struct {
+	message gossip.Message
+	heardAt time.Time
+}
+
+// view is what this VM knows of the configuration and of the other VMs.
+type view struct {
+	clock       bergamotgrade.Clock
+	self        string
+	incarnation int64
+	callers     bool
+	startedAt   time.Time
+	log         *slog.Logger
+
+	mu            sync.Mutex
+	configuration *bergamotgrade.FleetConfiguration
+	members       map[string]member
+	peers         map[string]peer
+	limiter       *limit.Fleet
+	leaving       bool
+}
+
+func newView(clock bergamotgrade.Clock, self string, incarnation int64, callers bool, log *slog.Logger) *view {
+	return &view{
+		clock: clock, self: self, incarnation: incarnation, callers: callers, startedAt: clock.Now(), log: log,
+		members: map[string]member{}, peers: map[string]peer{}, limiter: limit.NewFleet(),
+	}
+}
+
+// Configuration returns the configuration in force, or nil.
+func (v *view) Configuration() *bergamotgrade.FleetConfiguration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.configuration
+}
+
+// setConfiguration takes the entry of a configuration unless it is older than
+// the one in force.
+func (v *view) setConfiguration(entry bergamotgrade.Entry) {
+	next, skipped, err := platform.DecodeConfiguration(entry)
+	if err != nil {
+		v.log.Error("configuration cannot be read; the former one stays in force", "revision", entry.Revision, "cause", err.Error())
+		return
+	}
+	for _, what := range skipped {
+		v.log.Warn("part of the configuration cannot be read", "version", next.Version, "part", what)
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	before := int64(0)
+	if v.configuration != nil {
+		before = v.configuration.Version
+	}
+	if next.Version <= before {
+		return
+	}
+	v.configuration = next
+	v.limiter.Prepare(v.clock.Now(), next.Teams)
+	v.log.Info("configuration in force", "version", next.Version, "former_version", before, "revision", entry.Revision)
+}
+
+// Admit takes one request of the team, or returns when to try again.
+func (v *view) Admit(team bergamotgrade.FleetTeam) (retryAt time.Time, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.limiter.Admit(v.clock.Now(), team)
+}
+
+// Leaving reports whether this VM stops.
+func (v *view) Leaving() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.leaving
+}
+
+func (v *view) leave() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving = true
+}
+
+// setMembers takes the registered VMs.
+func (v *view) setMembers(entries map[string]bergamotgrade.Entry) {
+	members := make(map[string]member, len(entries))
+	callers := 0
+	for _, entry := range entries {
+		var m member
+		if err := json.Unmarshal(entry.Value, &m); err != nil || m.VMID == "" {
+			v.log.Warn("entry of a VM cannot be read", "key", entry.Key)
+			continue
+		}
+		members[m.VMID] = m
+		if m.Callers && m.VMID != v.self {
+			callers++
+		}
+	}
+	if v.callers {
+		callers++
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, m := range members {
+		if known, ok := v.members[id]; !ok || known.Incarnation != m.Incarnation {
+			v.log.Info("VM registered", "peer", id, "incarnation", m.Incarnation, "data_centre", m.DataCentre)
+		}
+	}
+	for id := range v.members {
+		if _, ok := members[id]; !ok {
+			v.log.Info("VM no longer registered", "peer", id)
+		}
+	}
+	v.members = members
+	v.limiter.SetKnown(callers)
+}
+
+// peerAddresses returns the inner addresses of the other registered VMs.
+func (v *view) peerAddresses() map[string]string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	addresses := make(map[string]string, len(v.members))
+	for id, m := range v.members {
+		if id != v.self {
+			addresses[id] = m.InnerAddress
+		}
+	}
+	return addresses
+}
+
+// hear takes a peer's message and returns the number of VMs that take callers.
+func (v *view) hear(message gossip.Message) (callers int) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	v.peers[message.VMID] = peer{message: message, heardAt: now}
+	if message.Callers {
+		v.limiter.SetPeer(now, message.VMID, message.Incarnation, message.Admitted)
+	}
+	callers = 1
+	for _, p := range v.peers {
+		if p.message.Callers && now.Sub(p.heardAt) <= peerLife {
+			callers++
+		}
+	}
+	return callers
+}
+
+// newestAbove returns the inner addresses of up to max peers that have a newer
+// configuration than this VM, or of any when there are none.
+func (v *view) copySources(most int) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	own := int64(0)
+	if v.configuration != nil {
+		own = v.configuration.Version
+	}
+	now := v.clock.Now()
+	var newer, others []string
+	for id, p := range v.peers {
+		m, ok := v.members[id]
+		if !ok || now.Sub(p.heardAt) > peerLife {
+			continue
+		}
+		if p.message.Version > own {
+			newer = append(newer, m.InnerAddress)
+		} else {
+			others = append(others, m.InnerAddress)
+		}
+	}
+	sources := append(newer, others...)
+	return sources[:min(most, len(sources))]
+}
+
+// RunnerFor implements jobs.Fleet: rendezvous hashing over the VMs that run
+// batch items; disk VMs go first, since callers' VMs have little processor.
+func (v *view) RunnerFor(jobID string) (vmID string, incarnation int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	best := uint64(0)
+	for _, runners := range []bool{true, false} {
+		consider := func(id string, inc int64, runner bool) {
+			if runner != runners {
+				return
+			}
+			if score := xxhash.Sum64String(jobID + "/" + id); vmID == "" || score > best {
+				best, vmID, incarnation = score, id, inc
+			}
+		}
+		if !v.leaving {
+			consider(v.self, v.incarnation, !v.callers)
+		}
+		now := v.clock.Now()
+		for id, p := range v.peers {
+			if now.Sub(p.heardAt) <= peerLife && !p.message.Leaving {
+				consider(id, p.message.Incarnation, p.message.Runner)
+			}
+		}
+		if vmID != "" {
+			return vmID, incarnation
+		}
+	}
+	return vmID, incarnation
+}
+
+// RunnerLives implements jobs.Fleet. A process counts as ended when a newer one
+// runs on its VM, when it leaves, or when it is silent and its lease has lapsed.
+func (v *view) RunnerLives(vmID string, incarnation int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if vmID == v.self {
+		return incarnation == v.incarnation && !v.leaving
+	}
+	if vmID == "" {
+		return false
+	}
+	now := v.clock.Now()
+	p, heard := v.peers[vmID]
+	if heard && p.message.Incarnation > incarnation {
+		return false
+	}
+	if heard && p.message.Incarnation == incarnation && now.Sub(p.heardAt) <= peerLife {
+		return !p.message.Leaving
+	}
+	if now.Sub(v.startedAt) < firstLook {
+		return true
+	}
+	m, registered := v.members[vmID]
+	return registered && m.Incarnation == incarnation
+}
+
+// versionInForce returns the version of the configuration in force, or zero.
+func (v *view) versionInForce() int64 {
+	if configuration := v.Configuration(); configuration != nil {
+		return configuration.Version
+	}
+	return math.MinInt64
+}
+
+// admitted returns the counts of admitted requests by team.
+func (v *view) admitted() map[string]uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.limiter.Admitted()
+}
--- /dev/null
+++ b/jobs/constants.go
@@ -0,0 +1,38 @@
+package jobs
+
+import "time"
+
+const (
+	// valueShare is the part of the store's largest value that is used, which
+	// leaves room for the entry's own fields.
+	valueShare = 0.9
+	// maxCommitEntries is the store's bound on the entries of a commit.
+	maxCommitEntries = 32
+	// submitPatience is how long the acceptance of a job is tried; its caller
+	// tries another VM afterwards.
+	submitPatience = 1200 * time.Millisecond
+	// storeRetry is the pause before a call to the store is repeated.
+	storeRetry = 150 * time.Millisecond
+	// cacheBytes bounds the results and bodies kept in memory.
+	cacheBytes = 24 << 20
+	// maxAnswerBytes bounds the results in one answer to a reader.
+	maxAnswerBytes = 900 << 10
+	// itemPause is the pause before an item that failed is run again.
+	itemPause = 200 * time.Millisecond
+	// stallLimit is the silence after which an item goes on at another server.
+	stallLimit = 2 * time.Second
+	// ownerSilence is how long an owner may be silent before another VM takes its
+	// jobs.
+	ownerSilence = 1500 * time.Millisecond
+	// checkInterval is the longest pause between two looks at all jobs.
+	checkInterval = 500 * time.Millisecond
+	// cleanInterval is the pause between two removals of expired jobs.
+	cleanInterval = 15 * time.Second
+	// statusMargin is how much longer than promised results are kept.
+	statusMargin = time.Minute
+	// maxEndTries bounds the failed calls by which a job is ended.
+	maxEndTries = 5
+	// refusedRetry is the Retry-After of a job that does not fit or cannot be
+	// stored now.
+	refusedRetry = time.Second
+)
--- /dev/null
+++ b/jobs/repository.go
@@ -0,0 +1,248 @@
+package jobs
+
+import (
+	"context"
+	"time"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// Repository reads and writes jobs in the platform's store.
+type Repository struct {
+	kv         bergamotgrade.KeyValue
+	ledger     *Ledger
+	valueBytes int
+	cache      *cache
+}
+
+// NewRepository returns a repository whose values hold at most valueBytes.
+func NewRepository(kv bergamotgrade.KeyValue, ledger *Ledger, valueBytes int) *Repository {
+	return &Repository{kv: kv, ledger: ledger, valueBytes: int(valueShare * float64(valueBytes)), cache: newCache(cacheBytes)}
+}
+
+// Create stores a new job whole. created is false where the job was there
+// before; the head is then the stored one.
+func (r *Repository) Create(ctx context.Context, jobID string, head Head, items []Item) (stored Head, created bool, err error) {
+	parts, err := splitBody(items, r.valueBytes)
+	if err != nil {
+		return Head{}, false, err
+	}
+	if len(parts)+1 > maxCommitEntries {
+		return Head{}, false, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the batch job is too large to be stored", "send it in several jobs").WithNotRun()
+	}
+	head.BodyParts = len(parts)
+	commit, err := commitOf(jobID, 0, head)
+	if err != nil {
+		return Head{}, false, err
+	}
+	for i, part := range parts {
+		commit.Writes = append(commit.Writes, bergamotgrade.KeyWrite{Key: bodyKey(jobID, i), Value: part})
+	}
+	stored, created, err = r.commitHead(ctx, jobID, head, commit)
+	if err == nil && created {
+		r.cache.put(bodyPrefix(jobID), items, bytesOf(parts))
+	}
+	return stored, created, err
+}
+
+// commitOf returns a commit that replaces the head at the revision.
+func commitOf(jobID string, revision int64, head Head) (bergamotgrade.KeyCommit, error) {
+	value, err := msgpack.Marshal(head)
+	return bergamotgrade.KeyCommit{
+		Expected: map[string]int64{headKey(jobID): revision},
+		Writes:   []bergamotgrade.KeyWrite{{Key: headKey(jobID), Value: value}},
+	}, err
+}
+
+// commitHead makes the commit. Where the head has changed, applied is false and
+// the current head is returned; its revision is zero where there is none.
+func (r *Repository) commitHead(ctx context.Context, jobID string, head Head, commit bergamotgrade.KeyCommit) (current Head, applied bool, err error) {
+	result, err := r.kv.Commit(ctx, commit)
+	if err != nil {
+		return Head{}, false, err
+	}
+	if result.Applied() {
+		head.Revision = result.Revision
+		r.ledger.Put(jobID, head)
+		return head, true, nil
+	}
+	entry := result.Current[headKey(jobID)]
+	if entry.Revision == 0 {
+		return Head{}, false, nil
+	}
+	current, err = decodeHead(entry)
+	if err == nil {
+		r.ledger.Put(jobID, current)
+	}
+	return current, false, err
+}
+
+// ReplaceHead writes the head if it still has the given revision.
+func (r *Repository) ReplaceHead(ctx context.Context, jobID string, head Head) (current Head, applied bool, err error) {
+	commit, err := commitOf(jobID, head.Revision, head)
+	if err != nil {
+		return Head{}, false, err
+	}
+	return r.commitHead(ctx, jobID, head, commit)
+}
+
+// List adds results at the next positions of the job if its head still has the
+// given revision.
+func (r *Repository) List(ctx context.Context, jobID string, head Head, results []Result) (current Head, applied bool, err error) {
+	next := head
+	next.Listed += len(results)
+	commit, err := commitOf(jobID, head.Revision, next)
+	if err != nil {
+		return Head{}, false, err
+	}
+	for i, result := range results {
+		value, err := msgpack.Marshal(result)
+		if err != nil {
+			return Head{}, false, err
+		}
+		key := resultKey(jobID, head.Listed+i)
+		commit.Expected[key] = 0
+		commit.Writes = append(commit.Writes, bergamotgrade.KeyWrite{Key: key, Value: value})
+	}
+	current, applied, err = r.commitHead(ctx, jobID, next, commit)
+	if applied {
+		for i, result := range results {
+			r.cache.put(resultKey(jobID, head.Listed+i), result, len(result.Text))
+		}
+	}
+	return current, applied, err
+}
+
+// Find returns the head of the job; false means that there is none.
+func (r *Repository) Find(ctx context.Context, jobID string) (Head, bool, error) {
+	if head, ok, _ := r.ledger.Head(jobID); ok {
+		return head, true, nil
+	}
+	return r.Reload(ctx, jobID)
+}
+
+// Reload reads the head of the job from the store.
+func (r *Repository) Reload(ctx context.Context, jobID string) (Head, bool, error) {
+	entry, err := r.kv.Read(ctx, headKey(jobID), false)
+	if err != nil || entry.Revision == 0 {
+		return Head{}, false, err
+	}
+	head, err := decodeHead(entry)
+	if err != nil {
+		return Head{}, false, err
+	}
+	r.ledger.Put(jobID, head)
+	return head, true, nil
+}
+
+// Items returns the items of the job.
+func (r *Repository) Items(ctx context.Context, jobID string, head Head) ([]Item, error) {
+	if items, ok := r.cache.get(bodyPrefix(jobID)); ok {
+		return items.([]Item), nil
+	}
+	entries, _, err := r.kv.Range(ctx, bodyPrefix(jobID), true)
+	if err == nil && len(entries) < head.BodyParts {
+		// The stale copy may be older than the job.
+		entries, _, err = r.kv.Range(ctx, bodyPrefix(jobID), false)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if len(entries) < head.BodyParts {
+		return nil, bergamotgrade.NewError(bergamotgrade.KindInternal, "a part of the batch job's body is missing in the store", "report it with the job's id")
+	}
+	parts := make([][]byte, 0, len(entries))
+	for _, entry := range entries {
+		parts = append(parts, entry.Value)
+	}
+	items, err := joinBody(parts)
+	if err != nil {
+		return nil, err
+	}
+	r.cache.put(bodyPrefix(jobID), items, bytesOf(parts))
+	return items, nil
+}
+
+func bytesOf(parts [][]byte) int {
+	total := 0
+	for _, part := range parts {
+		total += len(part)
+	}
+	return total
+}
+
+// Results returns the results from a position on, as far as they are listed and
+// fit one answer.
+func (r *Repository) Results(ctx context.Context, jobID string, head Head, from int) ([]Result, error) {
+	found, complete := r.cachedResults(jobID, head, from)
+	if complete {
+		return found, nil
+	}
+	for _, stale := range []bool{true, false} {
+		if stale && !r.settled(head) {
+			continue
+		}
+		entries, _, err := r.kv.Range(ctx, resultPrefix(jobID), stale)
+		if err != nil {
+			return nil, err
+		}
+		for _, entry := range entries {
+			var result Result
+			if err := msgpack.Unmarshal(entry.Value, &result); err != nil {
+				return nil, err
+			}
+			r.cache.put(entry.Key, result, len(result.Text))
+		}
+		if found, complete = r.cachedResults(jobID, head, from); complete {
+			break
+		}
+	}
+	return found, nil
+}
+
+// settled reports whether the job has been complete long enough for a stale
+// read to hold all of it.
+func (r *Repository) settled(head Head) bool {
+	return head.Listed == head.Items && time.Since(head.Due()) > 0
+}
+
+// cachedResults returns the results that are in memory; complete means that no
+// listed one is missing.
+func (r *Repository) cachedResults(jobID string, head Head, from int) (found []Result, complete bool) {
+	size := 0
+	for position := from; position < head.Listed; position++ {
+		value, ok := r.cache.get(resultKey(jobID, position))
+		if !ok {
+			return found, false
+		}
+		result := value.(Result)
+		if size += len(result.Text); len(found) > 0 && size > maxAnswerBytes {
+			return found, true
+		}
+		found = append(found, result)
+	}
+	return found, true
+}
+
+// Remove deletes all entries of a job.
+func (r *Repository) Remove(ctx context.Context, jobID string, head Head) error {
+	var keys []string
+	for part := range head.BodyParts {
+		keys = append(keys, bodyKey(jobID, part))
+	}
+	for position := range head.Listed {
+		keys = append(keys, resultKey(jobID, position))
+	}
+	for len(keys) > 0 {
+		n := min(len(keys), maxCommitEntries)
+		if _, err := r.kv.Commit(ctx, bergamotgrade.KeyCommit{Deletes: keys[:n]}); err != nil {
+			return err
+		}
+		keys = keys[n:]
+	}
+	// The head goes last, so that a removal that was cut short is found again.
+	_, err := r.kv.Commit(ctx, bergamotgrade.KeyCommit{Deletes: []string{headKey(jobID)}})
+	return err
+}
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -73,3 +73,9 @@
 	}
 	return now.Add(time.Duration((n - b.level) / b.rate * float64(time.Second))), true
 }
+
+// Spend removes n tokens that were used elsewhere; the level may fall below zero.
+func (b *Bucket) Spend(now time.Time, n float64) {
+	b.Advance(now)
+	b.level -= n
+}
--- /dev/null
+++ b/limit/fleet.go
@@ -0,0 +1,147 @@
+package limit
+
+import (
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+const (
+	// peerSilence is how long a VM counts as heard after its last message; VMs
+	// send several in that time.
+	peerSilence = 700 * time.Millisecond
+	// unknownRetry is the Retry-After where no token will come.
+	unknownRetry = time.Second
+)
+
+// Fleet holds each team to its rate and burst over all VMs together. VMs tell
+// each other how many requests they have admitted; each takes the others'
+// requests out of its own copy of a team's bucket. A VM that does not hear all
+// others uses only the part of the rate that falls to those it hears, so that
+// groups that cannot hear each other stay within the rate together.
+type Fleet struct {
+	teams map[string]*fleetTeam
+	peers map[string]*fleetPeer
+	// known is the number of VMs that admit requests, this one included.
+	known int
+}
+
+type fleetTeam struct {
+	bucket   Bucket
+	admitted uint64
+}
+
+type fleetPeer struct {
+	incarnation int64
+	admitted    map[string]uint64
+	heardAt     time.Time
+}
+
+// NewFleet returns a limiter that knows of no other VM. Buckets start empty: the
+// VM may be back after requests that it no longer remembers.
+func NewFleet() *Fleet {
+	return &Fleet{teams: map[string]*fleetTeam{}, peers: map[string]*fleetPeer{}, known: 1}
+}
+
+// SetKnown sets the number of VMs that admit requests, this one included.
+func (f *Fleet) SetKnown(vms int) { f.known = max(1, vms) }
+
+// Prepare makes the buckets of the teams, so that they fill before a request
+// comes.
+func (f *Fleet) Prepare(now time.Time, teams map[string]bergamotgrade.FleetTeam) {
+	for _, team := range teams {
+		f.team(now, team)
+	}
+	for name := range f.teams {
+		if _, ok := teams[name]; !ok {
+			delete(f.teams, name)
+		}
+	}
+}
+
+// SetPeer takes a peer's counts of admitted requests by team, which only rise
+// within one incarnation of the peer.
+func (f *Fleet) SetPeer(now time.Time, vmID string, incarnation int64, admitted map[string]uint64) {
+	peer, ok := f.peers[vmID]
+	switch {
+	case !ok:
+		// What the peer admitted before it was first heard is already past.
+		peer = &fleetPeer{incarnation: incarnation, admitted: map[string]uint64{}}
+		for name, count := range admitted {
+			peer.admitted[name] = count
+		}
+		f.peers[vmID] = peer
+	case peer.incarnation > incarnation:
+		return
+	case peer.incarnation < incarnation:
+		peer.incarnation = incarnation
+		clear(peer.admitted)
+	}
+	peer.heardAt = now
+	for name, count := range admitted {
+		before := peer.admitted[name]
+		if count <= before {
+			continue
+		}
+		peer.admitted[name] = count
+		if team, ok := f.teams[name]; ok {
+			team.bucket.Spend(now, float64(count-before))
+		}
+	}
+}
+
+// Admitted returns this VM's counts of admitted requests by team.
+func (f *Fleet) Admitted() map[string]uint64 {
+	counts := make(map[string]uint64, len(f.teams))
+	for name, team := range f.teams {
+		if team.admitted > 0 {
+			counts[name] = team.admitted
+		}
+	}
+	return counts
+}
+
+// Admit takes one request of the team, or returns when to try again.
+func (f *Fleet) Admit(now time.Time, team bergamotgrade.FleetTeam) (retryAt time.Time, ok bool) {
+	if team.Rate <= 0 {
+		return time.Time{}, true
+	}
+	known := f.team(now, team)
+	if known.bucket.Take(now, 1) {
+		known.admitted++
+		return time.Time{}, true
+	}
+	retryAt, ok = known.bucket.ReadyAt(now, 1)
+	if !ok {
+		retryAt = now.Add(unknownRetry)
+	}
+	return retryAt, false
+}
+
+// team returns the team's state with the limits that are in force now.
+func (f *Fleet) team(now time.Time, team bergamotgrade.FleetTeam) *fleetTeam {
+	share := f.share(now)
+	rate, capacity := team.Rate*share, max(1, team.Burst*share)
+	known, ok := f.teams[team.Name]
+	if !ok {
+		known = &fleetTeam{bucket: NewBucket(now, rate, capacity, 0)}
+		f.teams[team.Name] = known
+		return known
+	}
+	known.bucket.Resize(now, rate, capacity)
+	return known
+}
+
+// share is the part of all VMs that this one hears, itself included.
+func (f *Fleet) share(now time.Time) float64 {
+	heard := 1
+	for id, peer := range f.peers {
+		switch silence := now.Sub(peer.heardAt); {
+		case silence <= peerSilence:
+			heard++
+		case silence > time.Minute:
+			delete(f.peers, id)
+		}
+	}
+	return min(1, float64(heard)/float64(f.known))
+}
--- a/vm/peers.go
+++ b/vm/peers.go
@@ -38,59 +38,59 @@
 
 // Heartbeat sends the caller's heartbeat and returns the peer's.
 func (p *Peers) Heartbeat(ctx context.Context, address string, call Heartbeat) (HeartbeatAnswer, error) {
-	return callPeer[HeartbeatAnswer](ctx, p, address, methodHeartbeat, call)
+	return Call[HeartbeatAnswer](ctx, p, address, methodHeartbeat, call)
 }
 
 // Notes fetches accepted notes from the peer and offers some to it.
 func (p *Peers) Notes(ctx context.Context, address string, call NotesCall) (NotesAnswer, error) {
-	return callPeer[NotesAnswer](ctx, p, address, methodNotes, call)
+	return Call[NotesAnswer](ctx, p, address, methodNotes, call)
 }
 
 // Pending announces a note before its acceptance.
 func (p *Peers) Pending(ctx context.Context, address string, call PendingCall) error {
-	_, err := callPeer[Empty](ctx, p, address, methodPending, call)
+	_, err := Call[Empty](ctx, p, address, methodPending, call)
 	return err
 }
 
 // Evict asks the peer to agree to an eviction.
 func (p *Peers) Evict(ctx context.Context, address string, call EvictCall) (EvictAnswer, error) {
-	return callPeer[EvictAnswer](ctx, p, address, methodEvict, call)
+	return Call[EvictAnswer](ctx, p, address, methodEvict, call)
 }
 
 // Pledge lends standing shares to the peer.
 func (p *Peers) Pledge(ctx context.Context, address string, call PledgeCall) (PledgeAnswer, error) {
-	return callPeer[PledgeAnswer](ctx, p, address, methodPledge, call)
+	return Call[PledgeAnswer](ctx, p, address, methodPledge, call)
 }
 
 // Borrow asks the peer for tokens.
 func (p *Peers) Borrow(ctx context.Context, address string, call BorrowCall) (BorrowAnswer, error) {
-	return callPeer[BorrowAnswer](ctx, p, address, methodBorrow, call)
+	return Call[BorrowAnswer](ctx, p, address, methodBorrow, call)
 }
 
 // Table fetches the peer's copy of the member table.
 func (p *Peers) Table(ctx context.Context, address string) (TableAnswer, error) {
-	return callPeer[TableAnswer](ctx, p, address, methodTable, TableCall{})
+	return Call[TableAnswer](ctx, p, address, methodTable, TableCall{})
 }
 
 // InUse asks the peer for its requests of a model on a backend server.
 func (p *Peers) InUse(ctx context.Context, address string, call InUseCall) (InUseAnswer, error) {
-	return callPeer[InUseAnswer](ctx, p, address, methodInUse, call)
+	return Call[InUseAnswer](ctx, p, address, methodInUse, call)
 }
 
 // JobChanged tells the peer of a batch job.
 func (p *Peers) JobChanged(ctx context.Context, address string, call JobCall) error {
-	_, err := callPeer[Empty](ctx, p, address, methodJob, call)
+	_, err := Call[Empty](ctx, p, address, methodJob, call)
 	return err
 }
 
 // PutSegment stores a segment on a disk VM.
 func (p *Peers) PutSegment(ctx context.Context, address string, call SegmentCall) (SegmentAnswer, error) {
-	return callPeer[SegmentAnswer](ctx, p, address, methodPut, call)
+	return Call[SegmentAnswer](ctx, p, address, methodPut, call)
 }
 
 // GetSegment fetches a segment from a disk VM.
 func (p *Peers) GetSegment(ctx context.Context, address string, call SegmentCall) (SegmentAnswer, error) {
-	return callPeer[SegmentAnswer](ctx, p, address, methodGet, call)
+	return Call[SegmentAnswer](ctx, p, address, methodGet, call)
 }
 
 func (p *Peers) peer(address string) *peer {
@@ -116,9 +116,9 @@
 	}
 }
 
-// callPeer makes one call. A call that fails closes the connection, since it
+// Call makes one call. A call that fails closes the connection, since it
 // may have gone silent for good; the next call opens a new one.
-func callPeer[A any](ctx context.Context, p *Peers, address, method string, call any) (A, error) {
+func Call[A any](ctx context.Context, p *Peers, address, method string, call any) (A, error) {
 	var result A
 	target := p.peer(address)
 	select {
--- a/vm/server.go
+++ b/vm/server.go
@@ -10,10 +10,13 @@
 	"github.com/sourcegraph/jsonrpc2"
 )
 
+// ServeFunc answers one call of another VM.
+type ServeFunc func(ctx context.Context, method string, params *json.RawMessage) (any, error)
+
 // Server answers the calls of other VMs.
 type Server struct {
 	secret  []byte
-	handler Handler
+	serve   ServeFunc
 	metrics *expvar.Map
 	served  chan struct{}
 	running sync.WaitGroup
@@ -21,7 +24,14 @@
 
 // NewServer returns a server; Run accepts connections.
 func NewServer(secret string, handler Handler, metrics *expvar.Map) *Server {
-	return &Server{secret: []byte(secret), handler: handler, metrics: metrics, served: make(chan struct{}, maxServed)}
+	return NewFuncServer(secret, func(ctx context.Context, method string, params *json.RawMessage) (any, error) {
+		return Serve(ctx, handler, method, params)
+	}, metrics)
+}
+
+// NewFuncServer returns a server whose calls a function answers.
+func NewFuncServer(secret string, serve ServeFunc, metrics *expvar.Map) *Server {
+	return &Server{secret: []byte(secret), serve: serve, metrics: metrics, served: make(chan struct{}, maxServed)}
 }
 
 // Run accepts connections until the context ends.
@@ -63,7 +73,7 @@
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many calls are under way; try again"}
 	}
 	s.metrics.Add("served_"+req.Method, 1)
-	return Serve(ctx, s.handler, req.Method, req.Params)
+	return s.serve(ctx, req.Method, req.Params)
 }
 
 // Serve decodes the parameters of one call and passes it to the handler.
@@ -73,33 +83,34 @@
 	}
 	switch method {
 	case methodHeartbeat:
-		return answer(*params, func(c Heartbeat) any { return handler.Heartbeat(ctx, c) })
+		return Answer(*params, func(c Heartbeat) any { return handler.Heartbeat(ctx, c) })
 	case methodNotes:
-		return answer(*params, func(c NotesCall) any { return handler.Notes(ctx, c) })
+		return Answer(*params, func(c NotesCall) any { return handler.Notes(ctx, c) })
 	case methodPending:
-		return answer(*params, func(c PendingCall) any { handler.Pending(ctx, c); return Empty{} })
+		return Answer(*params, func(c PendingCall) any { handler.Pending(ctx, c); return Empty{} })
 	case methodEvict:
-		return answer(*params, func(c EvictCall) any { return handler.Evict(ctx, c) })
+		return Answer(*params, func(c EvictCall) any { return handler.Evict(ctx, c) })
 	case methodPledge:
-		return answer(*params, func(c PledgeCall) any { return handler.Pledge(ctx, c) })
+		return Answer(*params, func(c PledgeCall) any { return handler.Pledge(ctx, c) })
 	case methodBorrow:
-		return answer(*params, func(c BorrowCall) any { return handler.Borrow(ctx, c) })
+		return Answer(*params, func(c BorrowCall) any { return handler.Borrow(ctx, c) })
 	case methodTable:
-		return answer(*params, func(c TableCall) any { return handler.Table(ctx, c) })
+		return Answer(*params, func(c TableCall) any { return handler.Table(ctx, c) })
 	case methodInUse:
-		return answer(*params, func(c InUseCall) any { return handler.InUse(ctx, c) })
+		return Answer(*params, func(c InUseCall) any { return handler.InUse(ctx, c) })
 	case methodJob:
-		return answer(*params, func(c JobCall) any { handler.JobChanged(ctx, c); return Empty{} })
+		return Answer(*params, func(c JobCall) any { handler.JobChanged(ctx, c); return Empty{} })
 	case methodPut:
-		return answer(*params, func(c SegmentCall) any { return handler.PutSegment(ctx, c) })
+		return Answer(*params, func(c SegmentCall) any { return handler.PutSegment(ctx, c) })
 	case methodGet:
-		return answer(*params, func(c SegmentCall) any { return handler.GetSegment(ctx, c) })
+		return Answer(*params, func(c SegmentCall) any { return handler.GetSegment(ctx, c) })
 	}
 	// An older VM gets calls of a newer one during an upgrade.
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
 }
 
-func answer[C any](params []byte, handle func(C) any) (any, error) {
+// Answer decodes the parameters of a call and passes them to the function.
+func Answer[C any](params []byte, handle func(C) any) (any, error) {
 	var call C
 	if err := json.Unmarshal(params, &call); err != nil {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
