--- a/jobs/service.go
+++ b/jobs/service.go
@@ -112,6 +112,11 @@
 	return bergamotgrade.NewError(bergamotgrade.KindOutcomeUnknown, "the platform's store did not answer", "send the same batch job again").WithCause(cause)
 }
 
+// storeAway is the failure of a read while the store does not answer.
+func storeAway(cause error) error {
+	return bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the platform's store does not answer", "try again").WithCause(cause).WithNotRun()
+}
+
 func unknownJob() error {
 	return bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "the team has no such batch job", "check the id")
 }
@@ -120,7 +125,7 @@
 func (s *Service) find(ctx context.Context, team, jobID string) (Head, error) {
 	head, ok, err := s.repository.Find(ctx, jobID)
 	if err != nil {
-		return Head{}, bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the platform's store does not answer", "try again").WithCause(err).WithNotRun()
+		return Head{}, storeAway(err)
 	}
 	if !ok || head.Team != team {
 		return Head{}, unknownJob()
@@ -136,12 +141,21 @@
 		return 0, nil, err
 	}
 	head = s.await(ctx, jobID, head, from, waitUntil)
+	if from >= head.Listed && head.Listed < head.Items {
+		// The ledger may lag behind what a caller has read at another VM.
+		if head, _, err = s.repository.Reload(ctx, jobID); err != nil {
+			return 0, nil, storeAway(err)
+		}
+		if head.Revision == 0 {
+			return 0, nil, unknownJob()
+		}
+	}
 	if from >= head.Listed {
 		return head.Items, nil, nil
 	}
 	results, err = s.repository.Results(ctx, jobID, head, from)
 	if err != nil || len(results) == 0 {
-		return 0, nil, bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the platform's store does not answer", "try again").WithCause(err).WithNotRun()
+		return 0, nil, storeAway(err)
 	}
 	return head.Items, results, nil
 }
@@ -183,7 +197,7 @@
 	}
 	items, err := s.repository.Items(ctx, jobID, head)
 	if err != nil {
-		return nil, bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the platform's store does not answer", "try again").WithCause(err).WithNotRun()
+		return nil, storeAway(err)
 	}
 	for _, item := range items {
 		if item.ItemID == itemID {
