--- a/entry/node.go
+++ b/entry/node.go
@@ -48,7 +48,7 @@
 	log         *slog.Logger
 	metrics     *Metrics
 
-	kv         bergamotgrade.KeyValue
+	kv         *follow.Reach
 	view       *view
 	desk       *relay.Desk
 	engine     *platform.Engine
@@ -74,7 +74,7 @@
 		log: log, metrics: NewMetrics(), unreadable: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	callers := settings.CallerAddress != ""
-	n.kv = platform.NewStore(settings.StoreAddress, n.metrics.Map("store_calls"))
+	n.kv = follow.NewReach(platform.NewStore(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, log)
 	n.view = newView(n.clock, settings.VMID, n.incarnation, callers, log)
 	n.engine = platform.NewEngine(n.metrics.Map("backend"))
 	n.desk = relay.NewDesk(n.clock, placement.NewBoard(settings.VMID, settings.DataCentre), n.announce)
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -35,7 +35,7 @@
 
 // Mirror is a copy of all entries below a prefix.
 type Mirror struct {
-	kv     bergamotgrade.KeyValue
+	kv     *Reach
 	clock  bergamotgrade.Clock
 	prefix string
 	// onChange gets a whole new copy after each change.
@@ -48,15 +48,10 @@
 
 	mu       sync.Mutex
 	revision int64
-	entries map[string]bergamotgrade.Entry
-	loaded  bool
-	// failingSince is when calls began to fail; zero while they succeed.
-	failingSince time.Time
-	lost         bool
-	// graceUntil ends the time in which missing entries are kept, missing holds
-	// these.
-	graceUntil time.Time
-	missing    map[string]bool
+	entries  map[string]bergamotgrade.Entry
+	loaded   bool
+	// missing holds the entries that may have lapsed while the store was away.
+	missing map[string]bool
 }
 
 // Copy is one VM's copy of a prefix as of a revision of the store.
@@ -70,7 +65,7 @@
 type PeerCopies func(ctx context.Context, prefix string, above int64) (Copy, bool)
 
 // NewMirror returns an empty copy of the prefix; Run keeps it up to date.
-func NewMirror(kv bergamotgrade.KeyValue, clock bergamotgrade.Clock, prefix string, peers PeerCopies, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
+func NewMirror(kv *Reach, clock bergamotgrade.Clock, prefix string, peers PeerCopies, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
 		kv: kv, clock: clock, prefix: prefix, peers: peers, onChange: onChange, log: log, nudged: make(chan struct{}, 1),
 		entries: map[string]bergamotgrade.Entry{}, missing: map[string]bool{},
@@ -84,13 +79,6 @@
 	return m.loaded
 }
 
-// Reachable reports whether the store answered the last call.
-func (m *Mirror) Reachable() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.loaded && m.failingSince.IsZero()
-}
-
 // Nudge has a newer copy fetched from a peer.
 func (m *Mirror) Nudge() {
 	select {
@@ -124,10 +112,7 @@
 			return
 		case <-m.nudged:
 		case <-ticker.C:
-			m.mu.Lock()
-			away := !m.loaded || !m.failingSince.IsZero()
-			m.mu.Unlock()
-			if !away {
+			if m.Loaded() && !m.kv.Away() {
 				continue
 			}
 		}
@@ -158,7 +143,6 @@
 			return
 		case err == nil:
 			backoff = firstBackoff
-			m.succeeded()
 			if !bergamotgrade.Sleep(ctx, gather) {
 				return
 			}
@@ -166,7 +150,6 @@
 			m.log.Info("history of the store lost; listing again", "prefix", m.prefix)
 			listed = false
 		default:
-			m.failed(err)
 			if !bergamotgrade.Sleep(ctx, backoff) {
 				return
 			}
@@ -180,7 +163,6 @@
 	if err != nil {
 		return 0, err
 	}
-	m.succeeded()
 	m.take(entries, revision)
 	return revision, nil
 }
@@ -212,15 +194,21 @@
 func (m *Mirror) watch(ctx context.Context, after int64) (int64, error) {
 	wait := watchWait
 	m.mu.Lock()
-	if held := m.graceUntil.Sub(m.clock.Now()); len(m.missing) > 0 && held > 0 {
-		wait = min(wait, held+gather)
+	if len(m.missing) > 0 {
+		wait = returnGrace / 4
 	}
 	m.mu.Unlock()
-	changes, revision, err := m.kv.Changes(ctx, m.prefix, after, wait)
+	watchCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	// A watch that has waited through an outage may wait on a dead connection.
+	go m.runUntil(watchCtx, cancel, m.kv.Regained())
+	changes, revision, err := m.kv.Changes(watchCtx, m.prefix, after, wait)
+	if watchCtx.Err() != nil {
+		return after, nil
+	}
 	if err != nil {
 		return after, err
 	}
-	m.succeeded()
 	m.mu.Lock()
 	m.revision = max(m.revision, revision)
 	now := m.clock.Now()
@@ -242,6 +230,15 @@
 	return revision, nil
 }
 
+// runUntil cancels a watch when the store is back after an outage.
+func (m *Mirror) runUntil(ctx context.Context, cancel context.CancelFunc, regained <-chan struct{}) {
+	select {
+	case <-regained:
+		cancel()
+	case <-ctx.Done():
+	}
+}
+
 // put and remove change the copy; the caller holds the lock.
 func (m *Mirror) put(entry bergamotgrade.Entry) {
 	delete(m.missing, entry.Key)
@@ -252,7 +249,7 @@
 }
 
 func (m *Mirror) remove(now time.Time, key string) {
-	if now.Before(m.graceUntil) {
+	if m.kv.InGrace(now) {
 		m.missing[key] = true
 		return
 	}
@@ -261,7 +258,7 @@
 
 // purge drops the entries that are still missing when their time is over.
 func (m *Mirror) purge(now time.Time) bool {
-	if len(m.missing) == 0 || now.Before(m.graceUntil) {
+	if len(m.missing) == 0 || m.kv.InGrace(now) {
 		return false
 	}
 	for key := range m.missing {
@@ -271,34 +268,6 @@
 	return true
 }
 
-func (m *Mirror) succeeded() {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.failingSince.IsZero() {
-		return
-	}
-	now := m.clock.Now()
-	if away := now.Sub(m.failingSince); away >= outageAfter {
-		m.graceUntil = now.Add(returnGrace)
-		m.log.Info("store regained", "prefix", m.prefix, "away", away.String())
-	}
-	m.failingSince = time.Time{}
-	m.lost = false
-}
-
-func (m *Mirror) failed(err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	now := m.clock.Now()
-	if m.failingSince.IsZero() {
-		m.failingSince = now
-	}
-	if !m.lost {
-		m.lost = true
-		m.log.Warn("store lost", "prefix", m.prefix, "cause", err.Error())
-	}
-}
-
 func (m *Mirror) publish() {
 	m.mu.Lock()
 	entries := make(map[string]bergamotgrade.Entry, len(m.entries))
