--- a/entry/constants.go
+++ b/entry/constants.go
@@ -20,6 +20,14 @@
 	pruneInterval = 5 * time.Second
 	// copyTimeout bounds the question for a peer's copy.
 	copyTimeout = 600 * time.Millisecond
+	// throughTimeout bounds a call of the store through another VM.
+	throughTimeout = 900 * time.Millisecond
+	// watcherLife is how long a watcher counts as alive after its last message.
+	watcherLife = 700 * time.Millisecond
+	// probeInterval and probeTimeout let a watcher find out within a second that
+	// the store no longer answers it; changes have to be known in two.
+	probeInterval = 300 * time.Millisecond
+	probeTimeout  = 700 * time.Millisecond
 	// copyPeers bounds the peers that are asked for one copy.
 	copyPeers = 3
 	// leaveNotice is how long a stopping VM goes on taking connections: the
--- a/entry/membership.go
+++ b/entry/membership.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -17,7 +18,7 @@
 	self    member
 	term    time.Duration
 	log     *slog.Logger
-	leaseID int64
+	leaseID atomic.Int64
 	lost    bool
 }
 
@@ -42,12 +43,12 @@
 }
 
 func (m *membership) keep(ctx context.Context) error {
-	if m.leaseID != 0 {
-		err := m.kv.KeepLease(ctx, m.leaseID)
+	if held := m.leaseID.Load(); held != 0 {
+		err := m.kv.KeepLease(ctx, held)
 		if !errors.Is(err, bergamotgrade.ErrNoLease) {
 			return err
 		}
-		m.leaseID = 0
+		m.leaseID.Store(0)
 	}
 	leaseID, err := m.kv.NewLease(ctx, m.term)
 	if err != nil {
@@ -61,17 +62,18 @@
 	if err != nil {
 		return err
 	}
-	m.leaseID = leaseID
+	m.leaseID.Store(leaseID)
 	m.log.Info("registered", "incarnation", m.self.Incarnation)
 	return nil
 }
 
 // end gives the registration up.
 func (m *membership) end(ctx context.Context) {
-	if m.leaseID == 0 {
+	held := m.leaseID.Load()
+	if held == 0 {
 		return
 	}
-	if err := m.kv.EndLease(ctx, m.leaseID); err != nil {
+	if err := m.kv.EndLease(ctx, held); err != nil {
 		m.log.Warn("registration not ended; it lapses by itself", "cause", err.Error())
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -30,13 +30,22 @@
 	"github.com/bergamotgrade/bergamotgrade/vm"
 )
 
-// methodCopy asks a VM for its copy of a prefix of the platform's store.
-const methodCopy = "copy"
+// The methods of the calls between VMs.
+const (
+	// methodCopy asks a VM for its copy of a prefix of the platform's store.
+	methodCopy = "copy"
+	// methodStore asks a VM for a call of the platform's store.
+	methodStore = "store"
+	// methodLevels asks a VM for what each team has left of its burst.
+	methodLevels = "levels"
+)
 
 // copyCall is the question for a copy that is newer than a revision.
 type copyCall struct {
 	Prefix string `json:"prefix"`
 	Above  int64  `json:"above"`
+	// Watch has the answer wait until there is something newer.
+	Watch bool `json:"watch,omitempty"`
 }
 
 // Node is one VM.
@@ -61,6 +70,9 @@
 	caller     *platform.Caller
 	mirrors    map[string]*follow.Mirror
 
+	// background holds short tasks that do not outlive the process's stop.
+	background sync.WaitGroup
+
 	mu      sync.Mutex
 	servers map[string]bergamotgrade.ServerRecord
 	// unreadable holds registry entries that were reported as such.
@@ -74,7 +86,7 @@
 		log: log, metrics: NewMetrics(), unreadable: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	callers := settings.CallerAddress != ""
-	n.kv = follow.NewReach(platform.NewStore(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, log)
+	n.kv = follow.NewReach(platform.NewStore(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.storeThroughPeer, log)
 	n.view = newView(n.clock, settings.VMID, n.incarnation, callers, log)
 	n.engine = platform.NewEngine(n.metrics.Map("backend"))
 	n.desk = relay.NewDesk(n.clock, placement.NewBoard(settings.VMID, settings.DataCentre), n.announce)
@@ -104,7 +116,7 @@
 		memberPrefix:            n.setMembers,
 		jobs.HeadPrefix:         n.ledger.SetEntries,
 	} {
-		n.mirrors[prefix] = follow.NewMirror(n.kv, n.clock, prefix, n.copyFromPeers, onChange, log)
+		n.mirrors[prefix] = follow.NewMirror(n.kv, n.clock, prefix, n, onChange, log)
 	}
 	n.registerGauges()
 	return n, nil
@@ -130,7 +142,8 @@
 	message := gossip.Message{
 		VMID: n.settings.VMID, Incarnation: n.incarnation, Version: max(0, n.view.versionInForce()),
 		Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
-		Admitted: n.view.admitted(),
+		StoreAway: n.kv.Away(),
+		Admitted:  n.view.admitted(),
 	}
 	for id, load := range n.desk.Load() {
 		message.Load = append(message.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
@@ -149,28 +162,63 @@
 		byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
 	}
 	n.desk.SetPeer(message.VMID, byServer, callers)
+	if message.Callers && n.view.needsLevels() {
+		n.background.Go(func() { n.runLevels(message.VMID) })
+	}
 	if message.Version > n.view.versionInForce() {
 		n.mirrors[platform.OperatorPrefix].Nudge()
 	}
 }
 
 // serveInner answers the calls of other VMs.
-func (n *Node) serveInner(_ context.Context, method string, params *json.RawMessage) (any, error) {
-	if method != methodCopy || params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
-	}
-	return vm.Answer(*params, func(call copyCall) any {
-		mirror, ok := n.mirrors[call.Prefix]
-		if !ok {
-			return follow.Copy{}
+func (n *Node) serveInner(ctx context.Context, method string, params *json.RawMessage) (any, error) {
+	if params == nil {
+		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "the call has no parameters"}
+	}
+	switch method {
+	case methodCopy:
+		return vm.Answer(*params, func(call copyCall) any {
+			mirror, ok := n.mirrors[call.Prefix]
+			switch {
+			case !ok:
+				return follow.Copy{}
+			case call.Watch:
+				return mirror.Await(ctx, call.Above, follow.WatcherWait)
+			}
+			return mirror.Copy(call.Above)
+		})
+	case methodStore:
+		if n.kv.Away() {
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "this VM does not reach the store either"}
 		}
-		copied, _ := mirror.Copy(call.Above)
-		return copied
-	})
+		return vm.Answer(*params, func(call storeCall) any { return makeStoreCall(ctx, n.kv.Direct(), call) })
+	case methodLevels:
+		return vm.Answer(*params, func(struct{}) any { return n.view.levels() })
+	}
+	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
+}
+
+// storeThroughPeer returns the store as another VM reaches it, or nil.
+func (n *Node) storeThroughPeer() bergamotgrade.KeyValue {
+	address, ok := n.view.storePeer()
+	if !ok {
+		return nil
+	}
+	return &storeThrough{peers: n.peers, address: address}
+}
+
+// Watcher implements follow.Peers.
+func (n *Node) Watcher() (address string, ok bool) {
+	return n.view.watcher(n.settings.DataCentre, n.kv.Away())
+}
+
+// WatchAt implements follow.Peers.
+func (n *Node) WatchAt(ctx context.Context, address, prefix string, above int64) (follow.Copy, error) {
+	return vm.Call[follow.Copy](ctx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Above: above, Watch: true})
 }
 
-// copyFromPeers asks peers for a copy of the prefix that is newer than this VM's.
-func (n *Node) copyFromPeers(ctx context.Context, prefix string, above int64) (follow.Copy, bool) {
+// Copy implements follow.Peers.
+func (n *Node) Copy(ctx context.Context, prefix string, above int64) (follow.Copy, bool) {
 	sources := n.view.copySources(copyPeers)
 	if len(sources) == 0 {
 		// Without any member list the seeds are all that is known.
@@ -191,6 +239,23 @@
 	return follow.Copy{}, false
 }
 
+// runLevels takes from a peer what each team has left, once after the start.
+func (n *Node) runLevels(vmID string) {
+	address, ok := n.view.peerAddresses()[vmID]
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), copyTimeout)
+	defer cancel()
+	levels, err := vm.Call[map[string]float64](ctx, n.peers, address, methodLevels, struct{}{})
+	if err != nil {
+		n.log.Info("levels of the teams not taken", "peer", vmID, "cause", err.Error())
+		return
+	}
+	n.view.setLevels(levels)
+	n.log.Info("levels of the teams taken", "peer", vmID, "teams", len(levels))
+}
+
 // setOperator takes what the operator has written.
 func (n *Node) setOperator(entries map[string]bergamotgrade.Entry) {
 	if entry, ok := entries[platform.ConfigurationKey]; ok {
@@ -279,7 +344,7 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.membership.run, n.gossip.RunSender, n.gossip.RunReceiver, n.runner.Run, n.runUpkeep,
+		n.membership.run, n.gossip.RunSender, n.gossip.RunReceiver, n.runner.Run, n.runUpkeep, n.runProbe,
 		func(ctx context.Context) { n.inner.Run(ctx, listeners["inner"]) },
 	} {
 		work.Go(func() { run(workCtx) })
@@ -300,6 +365,7 @@
 	n.stop(servers)
 	stopWork()
 	work.Wait()
+	n.background.Wait()
 	n.log.Info("stopped")
 	return nil
 }
@@ -365,6 +431,18 @@
 	n.membership.end(endCtx)
 }
 
+// runProbe finds out soon when this VM, on which others rely as their watcher,
+// no longer reaches the store.
+func (n *Node) runProbe(ctx context.Context) {
+	for bergamotgrade.Sleep(ctx, probeInterval) {
+		held := n.membership.leaseID.Load()
+		if _, follows := n.Watcher(); follows || held == 0 {
+			continue
+		}
+		n.kv.Probe(ctx, held, probeTimeout)
+	}
+}
+
 // runUpkeep does what is due from time to time.
 func (n *Node) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(tickInterval)
--- a/entry/view.go
+++ b/entry/view.go
@@ -49,6 +49,7 @@
 	peers         map[string]peer
 	limiter       *limit.Fleet
 	leaving       bool
+	tookLevels    bool
 }
 
 func newView(clock bergamotgrade.Clock, self string, incarnation int64, callers bool, log *slog.Logger) *view {
@@ -175,7 +176,7 @@
 	return callers
 }
 
-// newestAbove returns the inner addresses of up to max peers that have a newer
+// copySources returns the inner addresses of up to max peers that have a newer
 // configuration than this VM, or of any when there are none.
 func (v *view) copySources(most int) []string {
 	v.mu.Lock()
@@ -201,6 +202,72 @@
 	return sources[:min(most, len(sources))]
 }
 
+// storePeer returns the inner address of a VM that reaches the store; which one
+// differs between VMs.
+func (v *view) storePeer() (address string, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, best := v.clock.Now(), uint64(0)
+	for id, p := range v.peers {
+		m, registered := v.members[id]
+		if !registered || p.message.StoreAway || p.message.Leaving || now.Sub(p.heardAt) > watcherLife {
+			continue
+		}
+		if score := xxhash.Sum64String(v.self + "/" + id); !ok || score > best {
+			address, best, ok = m.InnerAddress, score, true
+		}
+	}
+	return address, ok
+}
+
+// watcher returns the inner address of the VM that watches the store for the
+// data centre: the live one with the lowest id that reaches the store. false
+// means that it is this VM.
+func (v *view) watcher(dataCentre string, away bool) (address string, ok bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	lowest := ""
+	if !away && !v.leaving {
+		lowest = v.self
+	}
+	now := v.clock.Now()
+	for id, p := range v.peers {
+		m, registered := v.members[id]
+		if !registered || m.DataCentre != dataCentre || p.message.StoreAway || p.message.Leaving || now.Sub(p.heardAt) > watcherLife {
+			continue
+		}
+		if lowest == "" || id < lowest {
+			lowest, address = id, m.InnerAddress
+		}
+	}
+	return address, lowest != v.self && lowest != ""
+}
+
+// needsLevels reports once, soon after the start, that the teams' levels should
+// be taken from a peer.
+func (v *view) needsLevels() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.callers || v.tookLevels || v.configuration == nil || len(v.members) == 0 {
+		return false
+	}
+	v.tookLevels = true
+	return v.clock.Now().Sub(v.startedAt) < firstLook*2
+}
+
+// levels returns what each team has left of its burst.
+func (v *view) levels() map[string]float64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.limiter.Levels(v.clock.Now())
+}
+
+func (v *view) setLevels(levels map[string]float64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.limiter.SetLevels(v.clock.Now(), levels)
+}
+
 // RunnerFor implements jobs.Fleet: rendezvous hashing over the VMs that run
 // batch items; disk VMs go first, since callers' VMs have little processor.
 func (v *view) RunnerFor(jobID string) (vmID string, incarnation int64) {
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -14,9 +14,16 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes. A watch whose connection
-	// has gone silent is found out after it.
-	watchWait = 5 * time.Second
+	// watchWait is how long one call waits for changes; probes on its connection
+	// find out sooner that it is dead.
+	watchWait = 20 * time.Second
+	// WatcherWait is how long a watcher holds a question of another VM, and
+	// watcherTimeout how long that VM waits for the answer. A dead watcher must be
+	// found out well before the two seconds in which changes have to be known.
+	WatcherWait    = 800 * time.Millisecond
+	watcherTimeout = 1100 * time.Millisecond
+	// watcherAvoided is how long a watcher that did not answer is not asked.
+	watcherAvoided = 3 * time.Second
 	// gather is the pause between two watches, in which changes gather; it bounds
 	// the calls of a busy prefix.
 	gather = 250 * time.Millisecond
@@ -40,9 +47,8 @@
 	prefix string
 	// onChange gets a whole new copy after each change.
 	onChange func(map[string]bergamotgrade.Entry)
-	// peers returns a newer copy that another VM holds, or false.
-	peers PeerCopies
-	log   *slog.Logger
+	peers    Peers
+	log      *slog.Logger
 	// nudged is signalled when a peer is known to have a newer copy.
 	nudged chan struct{}
 
@@ -50,24 +56,41 @@
 	revision int64
 	entries  map[string]bergamotgrade.Entry
 	loaded   bool
+	// direct is set while this VM hears of changes from the store itself.
+	direct bool
+	// changed is closed and replaced at each change of the copy.
+	changed chan struct{}
 	// missing holds the entries that may have lapsed while the store was away.
 	missing map[string]bool
 }
 
-// Copy is one VM's copy of a prefix as of a revision of the store.
+// Copy is one VM's copy of a prefix as of a revision of the store, without the
+// entries that the asking VM has already.
 type Copy struct {
 	Revision int64                 `json:"revision"`
 	Entries  []bergamotgrade.Entry `json:"entries,omitempty"`
+	// Keys lists the keys of all entries.
+	Keys []string `json:"keys,omitempty"`
+	// Direct is set where the VM itself hears of changes from the store.
+	Direct bool `json:"direct,omitempty"`
 }
 
-// PeerCopies asks other VMs for a copy of the prefix that is newer than the
-// revision.
-type PeerCopies func(ctx context.Context, prefix string, above int64) (Copy, bool)
+// Peers are the other VMs as sources of copies.
+type Peers interface {
+	// Copy asks other VMs for a copy of the prefix that is newer than the
+	// revision.
+	Copy(ctx context.Context, prefix string, above int64) (Copy, bool)
+	// Watcher returns the address of the VM that watches the store for this data
+	// centre; false means that it is this VM.
+	Watcher() (address string, ok bool)
+	// WatchAt waits at a watcher for changes after the revision.
+	WatchAt(ctx context.Context, address, prefix string, above int64) (Copy, error)
+}
 
 // NewMirror returns an empty copy of the prefix; Run keeps it up to date.
-func NewMirror(kv *Reach, clock bergamotgrade.Clock, prefix string, peers PeerCopies, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
+func NewMirror(kv *Reach, clock bergamotgrade.Clock, prefix string, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
-		kv: kv, clock: clock, prefix: prefix, peers: peers, onChange: onChange, log: log, nudged: make(chan struct{}, 1),
+		kv: kv, clock: clock, prefix: prefix, peers: peers, onChange: onChange, log: log, nudged: make(chan struct{}, 1), changed: make(chan struct{}),
 		entries: map[string]bergamotgrade.Entry{}, missing: map[string]bool{},
 	}
 }
@@ -87,18 +110,47 @@
 	}
 }
 
-// Copy returns this VM's copy if it is newer than the revision.
-func (m *Mirror) Copy(above int64) (Copy, bool) {
+// Copy returns this VM's copy without the entries up to the revision.
+func (m *Mirror) Copy(above int64) Copy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	copied := Copy{Direct: m.direct && !m.kv.Away()}
 	if !m.loaded || m.revision <= above {
-		return Copy{}, false
+		return copied
 	}
-	copied := Copy{Revision: m.revision, Entries: make([]bergamotgrade.Entry, 0, len(m.entries))}
-	for _, entry := range m.entries {
-		copied.Entries = append(copied.Entries, entry)
+	copied.Revision = m.revision
+	for key, entry := range m.entries {
+		copied.Keys = append(copied.Keys, key)
+		if entry.Revision > above {
+			copied.Entries = append(copied.Entries, entry)
+		}
+	}
+	return copied
+}
+
+// Await returns this VM's copy once it has changed after the revision, or as it
+// is after the wait.
+func (m *Mirror) Await(ctx context.Context, above int64, wait time.Duration) Copy {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		turned := m.kv.Turned()
+		m.mu.Lock()
+		changed := m.changed
+		waits := m.direct && m.revision <= above
+		m.mu.Unlock()
+		if !waits || m.kv.Away() {
+			return m.Copy(above)
+		}
+		select {
+		case <-changed:
+		case <-turned:
+		case <-timer.C:
+			return m.Copy(above)
+		case <-ctx.Done():
+			return m.Copy(above)
+		}
 	}
-	return copied, true
 }
 
 // RunNudged fetches newer copies from peers when nudged, and at times while the
@@ -119,25 +171,34 @@
 		m.mu.Lock()
 		above := m.revision
 		m.mu.Unlock()
-		if copied, ok := m.peers(ctx, m.prefix, above); ok {
+		if copied, ok := m.peers.Copy(ctx, m.prefix, above); ok {
 			m.log.Info("newer copy taken from a peer", "prefix", m.prefix, "revision", copied.Revision, "own_revision", above)
-			m.take(copied.Entries, copied.Revision)
+			m.take(copied)
 		}
 	}
 }
 
-// Run follows the prefix until the context ends.
+// Run follows the prefix until the context ends: at the watcher of the data
+// centre where there is one, else at the store.
 func (m *Mirror) Run(ctx context.Context) {
-	backoff := firstBackoff
-	revision, listed := int64(0), false
+	backoff, listed := firstBackoff, false
+	var avoidUntil time.Time
 	for ctx.Err() == nil {
+		if address, ok := m.peers.Watcher(); ok && listed && m.clock.Now().After(avoidUntil) {
+			if err := m.watchAt(ctx, address); err != nil {
+				m.log.Info("watcher of the data centre does not answer; watching the store", "prefix", m.prefix, "watcher", address, "cause", err.Error())
+				avoidUntil = m.clock.Now().Add(watcherAvoided)
+			}
+			continue
+		}
 		var err error
 		if listed {
-			revision, err = m.watch(ctx, revision)
+			err = m.watch(ctx)
 		} else {
-			revision, err = m.list(ctx)
+			err = m.list(ctx)
 			listed = err == nil
 		}
+		m.setDirect(err == nil)
 		switch {
 		case ctx.Err() != nil:
 			return
@@ -158,31 +219,64 @@
 	}
 }
 
-func (m *Mirror) list(ctx context.Context) (int64, error) {
+func (m *Mirror) setDirect(direct bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.direct = direct
+}
+
+func (m *Mirror) list(ctx context.Context) error {
 	entries, revision, err := m.kv.Range(ctx, m.prefix, false)
 	if err != nil {
-		return 0, err
+		return err
+	}
+	copied := Copy{Revision: revision, Entries: entries}
+	for _, entry := range entries {
+		copied.Keys = append(copied.Keys, entry.Key)
 	}
-	m.take(entries, revision)
-	return revision, nil
+	m.take(copied)
+	return nil
+}
+
+// watchAt follows the watcher of the data centre for a while.
+func (m *Mirror) watchAt(ctx context.Context, address string) error {
+	m.mu.Lock()
+	m.direct = false
+	above := m.revision
+	m.mu.Unlock()
+	callCtx, cancel := context.WithTimeout(ctx, watcherTimeout)
+	defer cancel()
+	copied, err := m.peers.WatchAt(callCtx, address, m.prefix, above)
+	switch {
+	case err != nil:
+		return err
+	case !copied.Direct:
+		return errors.New("it does not watch the store itself")
+	case copied.Revision > above:
+		m.take(copied)
+	}
+	return nil
 }
 
 // take replaces the copy by a whole one, unless it is older.
-func (m *Mirror) take(entries []bergamotgrade.Entry, revision int64) {
+func (m *Mirror) take(copied Copy) {
 	m.mu.Lock()
-	if revision < m.revision {
+	if copied.Revision < m.revision {
 		m.mu.Unlock()
 		return
 	}
-	m.revision = revision
+	m.revision = copied.Revision
 	now := m.clock.Now()
-	seen := make(map[string]bool, len(entries))
-	for _, entry := range entries {
-		seen[entry.Key] = true
+	m.purge(now)
+	for _, entry := range copied.Entries {
 		m.put(entry)
 	}
+	listed := make(map[string]bool, len(copied.Keys))
+	for _, key := range copied.Keys {
+		listed[key] = true
+	}
 	for key := range m.entries {
-		if !seen[key] {
+		if !listed[key] {
 			m.remove(now, key)
 		}
 	}
@@ -191,23 +285,25 @@
 	m.publish()
 }
 
-func (m *Mirror) watch(ctx context.Context, after int64) (int64, error) {
+// watch waits at the store for changes.
+func (m *Mirror) watch(ctx context.Context) error {
 	wait := watchWait
 	m.mu.Lock()
 	if len(m.missing) > 0 {
 		wait = returnGrace / 4
 	}
+	after := m.revision
 	m.mu.Unlock()
 	watchCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	// A watch that has waited through an outage may wait on a dead connection.
-	go m.runUntil(watchCtx, cancel, m.kv.Regained())
+	// A watch that waits while other calls fail may wait on a dead connection.
+	go m.runUntil(watchCtx, cancel, m.kv.Turned())
 	changes, revision, err := m.kv.Changes(watchCtx, m.prefix, after, wait)
 	if watchCtx.Err() != nil {
-		return after, nil
+		return nil
 	}
 	if err != nil {
-		return after, err
+		return err
 	}
 	m.mu.Lock()
 	m.revision = max(m.revision, revision)
@@ -227,13 +323,13 @@
 	if changed {
 		m.publish()
 	}
-	return revision, nil
+	return nil
 }
 
-// runUntil cancels a watch when the store is back after an outage.
-func (m *Mirror) runUntil(ctx context.Context, cancel context.CancelFunc, regained <-chan struct{}) {
+// runUntil cancels a watch when the store's reach turns.
+func (m *Mirror) runUntil(ctx context.Context, cancel context.CancelFunc, turned <-chan struct{}) {
 	select {
-	case <-regained:
+	case <-turned:
 		cancel()
 	case <-ctx.Done():
 	}
@@ -270,6 +366,8 @@
 
 func (m *Mirror) publish() {
 	m.mu.Lock()
+	close(m.changed)
+	m.changed = make(chan struct{})
 	entries := make(map[string]bergamotgrade.Entry, len(m.entries))
 	for key, entry := range m.entries {
 		entries[key] = entry
--- a/follow/reach.go
+++ b/follow/reach.go
@@ -11,24 +11,30 @@
 
 // Reach is a store that knows whether it can be reached. All calls of a VM go
 // through one, so that an outage is noticed by whichever call meets it first.
+// While this VM alone is cut off, its calls other than watches go through VMs
+// that are not.
 type Reach struct {
 	kv    bergamotgrade.KeyValue
 	clock bergamotgrade.Clock
 	log   *slog.Logger
+	// through returns the store as another VM reaches it, or nil.
+	through func() bergamotgrade.KeyValue
 
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
 	returnedAt   time.Time
-	// regained is closed and replaced when the store is back after an outage.
-	regained chan struct{}
+	// turned is closed and replaced when calls begin to fail, and when the store is
+	// back.
+	turned chan struct{}
 }
 
 var _ bergamotgrade.KeyValue = (*Reach)(nil)
 
-// NewReach returns the store with its reach.
-func NewReach(kv bergamotgrade.KeyValue, clock bergamotgrade.Clock, log *slog.Logger) *Reach {
-	return &Reach{kv: kv, clock: clock, log: log, regained: make(chan struct{})}
+// NewReach returns the store with its reach; through returns the store as
+// another VM reaches it, or nil.
+func NewReach(kv bergamotgrade.KeyValue, clock bergamotgrade.Clock, through func() bergamotgrade.KeyValue, log *slog.Logger) *Reach {
+	return &Reach{kv: kv, clock: clock, through: through, log: log, turned: make(chan struct{})}
 }
 
 // Away reports whether the last call failed.
@@ -47,12 +53,26 @@
 	return away || (!r.returnedAt.IsZero() && now.Before(r.returnedAt.Add(returnGrace)))
 }
 
-// Regained returns a channel that is closed when the store is next back after an
-// outage.
-func (r *Reach) Regained() <-chan struct{} {
+// Turned returns a channel that is closed when calls next begin to fail, or when
+// the store is back.
+func (r *Reach) Turned() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.regained
+	return r.turned
+}
+
+// turn closes the channel; the caller holds the lock.
+func (r *Reach) turn() {
+	close(r.turned)
+	r.turned = make(chan struct{})
+}
+
+// Probe finds out by a cheap call whether the store answers. It fails after the
+// timeout.
+func (r *Reach) Probe(ctx context.Context, leaseID int64, timeout time.Duration) {
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	r.note(ctx, r.kv.KeepLease(callCtx, leaseID))
 }
 
 // note takes the outcome of one call.
@@ -66,6 +86,7 @@
 	if bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
 		if r.failingSince.IsZero() {
 			r.failingSince = now
+			r.turn()
 			r.log.Warn("store lost", "cause", err.Error())
 		}
 		return
@@ -78,26 +99,50 @@
 	r.log.Info("store regained", "away", away.String())
 	if away >= outageAfter {
 		r.returnedAt = now
-		close(r.regained)
-		r.regained = make(chan struct{})
 	}
+	r.turn()
+}
+
+// Direct returns the store without the way through other VMs.
+func (r *Reach) Direct() bergamotgrade.KeyValue { return r.kv }
+
+// route makes one call: through another VM while this one is cut off, else
+// directly. A call that another VM's answer leaves open is not repeated.
+func route[A any](ctx context.Context, r *Reach, call func(kv bergamotgrade.KeyValue) (A, error)) (A, error) {
+	if r.Away() {
+		if other := r.through(); other != nil {
+			answer, err := call(other)
+			if err == nil || !bergamotgrade.AsError(err).NotRun() {
+				return answer, err
+			}
+		}
+	}
+	answer, err := call(r.kv)
+	r.note(ctx, err)
+	return answer, err
 }
 
 // Read implements bergamotgrade.KeyValue.
 func (r *Reach) Read(ctx context.Context, key string, stale bool) (bergamotgrade.Entry, error) {
-	entry, err := r.kv.Read(ctx, key, stale)
-	r.note(ctx, err)
-	return entry, err
+	return route(ctx, r, func(kv bergamotgrade.KeyValue) (bergamotgrade.Entry, error) { return kv.Read(ctx, key, stale) })
+}
+
+// page is the answer of Range.
+type page struct {
+	entries []bergamotgrade.Entry
+	at      int64
 }
 
 // Range implements bergamotgrade.KeyValue.
 func (r *Reach) Range(ctx context.Context, prefix string, stale bool) ([]bergamotgrade.Entry, int64, error) {
-	entries, at, err := r.kv.Range(ctx, prefix, stale)
-	r.note(ctx, err)
-	return entries, at, err
+	answer, err := route(ctx, r, func(kv bergamotgrade.KeyValue) (page, error) {
+		entries, at, err := kv.Range(ctx, prefix, stale)
+		return page{entries, at}, err
+	})
+	return answer.entries, answer.at, err
 }
 
-// Changes implements bergamotgrade.KeyValue.
+// Changes implements bergamotgrade.KeyValue. It always asks the store itself.
 func (r *Reach) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bergamotgrade.KeyChange, int64, error) {
 	changes, at, err := r.kv.Changes(ctx, prefix, after, wait)
 	r.note(ctx, err)
@@ -106,28 +151,22 @@
 
 // Commit implements bergamotgrade.KeyValue.
 func (r *Reach) Commit(ctx context.Context, commit bergamotgrade.KeyCommit) (bergamotgrade.CommitResult, error) {
-	result, err := r.kv.Commit(ctx, commit)
-	r.note(ctx, err)
-	return result, err
+	return route(ctx, r, func(kv bergamotgrade.KeyValue) (bergamotgrade.CommitResult, error) { return kv.Commit(ctx, commit) })
 }
 
 // NewLease implements bergamotgrade.KeyValue.
 func (r *Reach) NewLease(ctx context.Context, term time.Duration) (int64, error) {
-	id, err := r.kv.NewLease(ctx, term)
-	r.note(ctx, err)
-	return id, err
+	return route(ctx, r, func(kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
 }
 
 // KeepLease implements bergamotgrade.KeyValue.
 func (r *Reach) KeepLease(ctx context.Context, leaseID int64) error {
-	err := r.kv.KeepLease(ctx, leaseID)
-	r.note(ctx, err)
+	_, err := route(ctx, r, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.KeepLease(ctx, leaseID) })
 	return err
 }
 
 // EndLease implements bergamotgrade.KeyValue.
 func (r *Reach) EndLease(ctx context.Context, leaseID int64) error {
-	err := r.kv.EndLease(ctx, leaseID)
-	r.note(ctx, err)
+	_, err := route(ctx, r, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.EndLease(ctx, leaseID) })
 	return err
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -23,6 +23,8 @@
 	Runner bool `msgpack:"r,omitempty"`
 	// Leaving is set while the VM stops.
 	Leaving bool `msgpack:"l,omitempty"`
+	// StoreAway is set while the VM does not reach the platform's store.
+	StoreAway bool `msgpack:"w,omitempty"`
 	// Load lists requests by backend server.
 	Load []ServerLoad `msgpack:"o,omitempty"`
 	// Admitted counts the admitted requests by team since the start.
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -79,3 +79,9 @@
 	b.Advance(now)
 	b.level -= n
 }
+
+// SetLevel replaces the level, within the capacity.
+func (b *Bucket) SetLevel(now time.Time, level float64) {
+	b.Advance(now)
+	b.level = min(level, b.capacity)
+}
--- a/limit/fleet.go
+++ b/limit/fleet.go
@@ -101,6 +101,25 @@
 	return counts
 }
 
+// Levels returns what each team has left.
+func (f *Fleet) Levels(now time.Time) map[string]float64 {
+	levels := make(map[string]float64, len(f.teams))
+	for name, team := range f.teams {
+		levels[name] = team.bucket.Level(now)
+	}
+	return levels
+}
+
+// SetLevels takes what a peer says that each team has left; a VM that has just
+// started knows nothing of what came before.
+func (f *Fleet) SetLevels(now time.Time, levels map[string]float64) {
+	for name, level := range levels {
+		if team, ok := f.teams[name]; ok {
+			team.bucket.SetLevel(now, level)
+		}
+	}
+}
+
 // Admit takes one request of the team, or returns when to try again.
 func (f *Fleet) Admit(now time.Time, team bergamotgrade.FleetTeam) (retryAt time.Time, ok bool) {
 	if team.Rate <= 0 {
