--- a/entry/node.go
+++ b/entry/node.go
@@ -432,14 +432,13 @@
 }
 
 // runProbe finds out soon when this VM, on which others rely as their watcher,
-// no longer reaches the store.
+// no longer reaches the store, and when a VM that is cut off reaches it again.
 func (n *Node) runProbe(ctx context.Context) {
 	for bergamotgrade.Sleep(ctx, probeInterval) {
-		held := n.membership.leaseID.Load()
-		if _, follows := n.Watcher(); follows || held == 0 {
+		if _, follows := n.Watcher(); follows && !n.kv.Away() {
 			continue
 		}
-		n.kv.Probe(ctx, held, probeTimeout)
+		n.kv.Probe(ctx, n.membership.leaseID.Load(), probeTimeout)
 	}
 }
 
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -56,6 +56,9 @@
 	revision int64
 	entries  map[string]bergamotgrade.Entry
 	loaded   bool
+	// listedAt is the revision of the last whole copy. Watches may have missed
+	// changes before it.
+	listedAt int64
 	// direct is set while this VM hears of changes from the store itself.
 	direct bool
 	// changed is closed and replaced at each change of the copy.
@@ -67,7 +70,9 @@
 // Copy is one VM's copy of a prefix as of a revision of the store, without the
 // entries that the asking VM has already.
 type Copy struct {
-	Revision int64                 `json:"revision"`
+	Revision int64 `json:"revision"`
+	// ListedAt is the revision of the last whole copy behind this one.
+	ListedAt int64                 `json:"listed_at"`
 	Entries  []bergamotgrade.Entry `json:"entries,omitempty"`
 	// Keys lists the keys of all entries.
 	Keys []string `json:"keys,omitempty"`
@@ -118,10 +123,10 @@
 	if !m.loaded || m.revision <= above {
 		return copied
 	}
-	copied.Revision = m.revision
+	copied.Revision, copied.ListedAt = m.revision, m.listedAt
 	for key, entry := range m.entries {
 		copied.Keys = append(copied.Keys, key)
-		if entry.Revision > above {
+		if entry.Revision > above || above < m.listedAt {
 			copied.Entries = append(copied.Entries, entry)
 		}
 	}
@@ -173,7 +178,7 @@
 		m.mu.Unlock()
 		if copied, ok := m.peers.Copy(ctx, m.prefix, above); ok {
 			m.log.Info("newer copy taken from a peer", "prefix", m.prefix, "revision", copied.Revision, "own_revision", above)
-			m.take(copied)
+			m.take(copied, m.drop)
 		}
 	}
 }
@@ -230,11 +235,11 @@
 	if err != nil {
 		return err
 	}
-	copied := Copy{Revision: revision, Entries: entries}
+	copied := Copy{Revision: revision, ListedAt: revision, Entries: entries}
 	for _, entry := range entries {
 		copied.Keys = append(copied.Keys, entry.Key)
 	}
-	m.take(copied)
+	m.take(copied, m.remove)
 	return nil
 }
 
@@ -253,19 +258,22 @@
 	case !copied.Direct:
 		return errors.New("it does not watch the store itself")
 	case copied.Revision > above:
-		m.take(copied)
+		m.take(copied, m.drop)
 	}
 	return nil
 }
 
-// take replaces the copy by a whole one, unless it is older.
-func (m *Mirror) take(copied Copy) {
+// take replaces the copy by a whole one, unless it is older. missing is called
+// for entries that are not in it: a peer has already kept those that may come
+// back.
+func (m *Mirror) take(copied Copy, missing func(now time.Time, key string)) {
 	m.mu.Lock()
 	if copied.Revision < m.revision {
 		m.mu.Unlock()
 		return
 	}
 	m.revision = copied.Revision
+	m.listedAt = max(m.listedAt, copied.ListedAt)
 	now := m.clock.Now()
 	m.purge(now)
 	for _, entry := range copied.Entries {
@@ -277,7 +285,7 @@
 	}
 	for key := range m.entries {
 		if !listed[key] {
-			m.remove(now, key)
+			missing(now, key)
 		}
 	}
 	m.loaded = true
@@ -352,6 +360,11 @@
 	delete(m.entries, key)
 }
 
+func (m *Mirror) drop(_ time.Time, key string) {
+	delete(m.missing, key)
+	delete(m.entries, key)
+}
+
 // purge drops the entries that are still missing when their time is over.
 func (m *Mirror) purge(now time.Time) bool {
 	if len(m.missing) == 0 || m.kv.InGrace(now) {
