--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -14,9 +14,12 @@
 )
 
 const (
-	// watchWait is how long one call waits for changes; probes on its connection
-	// find out sooner that it is dead.
-	watchWait = 20 * time.Second
+	// watchWait is how long one call waits for changes. A waiting watch may miss
+	// changes that the store drops with its history, and hears of it after the wait.
+	watchWait = 4 * time.Second
+	// historyPause is the shortest pause between two rounds of new watches for a
+	// dropped history.
+	historyPause = time.Second
 	// WatcherWait is how long a watcher holds a question of another VM, and
 	// watcherTimeout how long that VM waits for the answer. A dead watcher must be
 	// found out well before the two seconds in which changes have to be known.
--- a/follow/reach.go
+++ b/follow/reach.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
@@ -24,6 +26,8 @@
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
 	returnedAt   time.Time
+	// historyLostAt is when a watch last found that the history was dropped.
+	historyLostAt time.Time
 	// turned is closed and replaced when calls begin to fail, and when the store is
 	// back.
 	turned chan struct{}
@@ -53,8 +57,8 @@
 	return away || (!r.returnedAt.IsZero() && now.Before(r.returnedAt.Add(returnGrace)))
 }
 
-// Turned returns a channel that is closed when calls next begin to fail, or when
-// the store is back.
+// Turned returns a channel that is closed when calls next begin to fail, when the
+// store is back, or when it has dropped its history.
 func (r *Reach) Turned() <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -83,6 +87,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
+	if errors.Is(err, bergamotgrade.ErrHistoryLost) && now.Sub(r.historyLostAt) > historyPause {
+		// Other watches may wait for changes that were dropped with the history.
+		r.historyLostAt = now
+		r.turn()
+	}
 	if bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
 		if r.failingSince.IsZero() {
 			r.failingSince = now
