One client for the platform's store; the stand-in speaks the users' protocol

The protocol that this project had made up for its stand-in goes; the VMs of the product's own interface use the same store client through platform.Client, which offers named leases, single entries and a budget of calls.

--- a/batch/takeover_test.go
+++ b/batch/takeover_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"expvar"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -15,7 +16,8 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/member"
-	"github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
@@ -101,7 +103,7 @@
 	comment := qt.Commentf("dies at call %d, effect %t", dieAt, effect)
 	ctx := context.Background()
 	clock := bergamotgrade.SystemClock{}
-	keyValue := standin.NewKeyValue()
+	keyValue := platform.New(standin.NewStore(clock), math.Inf(1))
 	table := member.NewTable(1).Join(bergamotgrade.VMRecord{VMID: "vm", Incarnation: "first"})
 	executor := &counter{runs: map[string]int{}}
 	newRunner := func(vm *mortal) *Runner {
--- a/daemon/demo.go
+++ b/daemon/demo.go
@@ -14,6 +14,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/platform"
+	platformstandin "github.com/bergamotgrade/bergamotgrade/platform/standin"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/standin"
 )
@@ -23,6 +25,8 @@
 	demoOperatorAddress = "127.0.0.1:8081"
 	demoKey             = "demo-key"
 	demoEngines         = 2
+	// demoCallsPerSecond is far above what the demonstration needs.
+	demoCallsPerSecond = 1000
 )
 
 // demo is one VM with stand-ins for everything around it, in one process.
@@ -48,8 +52,8 @@
 func runDemo(ctx context.Context, command *cobra.Command) error {
 	d := &demo{}
 	d.group, d.ctx = errgroup.WithContext(ctx)
-	keyValue := standin.NewKeyValue()
-	platformAddress, err := d.serve(standin.NewPlatformServer(keyValue))
+	store := platformstandin.NewStore(bergamotgrade.SystemClock{})
+	platformAddress, err := d.serve(platformstandin.NewStoreServer(store))
 	if err != nil {
 		return err
 	}
@@ -60,7 +64,7 @@
 	if err := d.addBackends(&note.Set); err != nil {
 		return err
 	}
-	if _, err := release.NewStore(keyValue).Submit(ctx, note, release.NewState(), nil); err != nil {
+	if _, err := release.NewStore(platform.New(store, demoCallsPerSecond)).Submit(ctx, note, release.NewState(), nil); err != nil {
 		return err
 	}
 	vm, err := New(demoSettings(platformAddress))
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -63,7 +63,7 @@
 func New(settings Settings) (*VM, error) {
 	clock := bergamotgrade.SystemClock{}
 	ring := timeline.New(clock, settings.VMID)
-	service := platform.New(settings.PlatformAddress, settings.PlatformRate, metricMap("platform_calls"))
+	service := platform.New(platform.NewStore(settings.PlatformAddress, metricMap("platform_calls")), settings.PlatformRate)
 	store := release.NewStore(service)
 	peers := vm.NewPeers(settings.InnerSecret, metricMap("inner"))
 	client := backend.New(backend.Timeouts{FirstToken: settings.FirstToken, TokenGap: settings.TokenGap, IdempotentCall: settings.FirstToken})
--- a/release/release_test.go
+++ b/release/release_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -10,7 +11,8 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bergamotgrade/bergamotgrade"
-	"github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
 
@@ -61,7 +63,7 @@
 func TestRevisionNeverFalls(t *testing.T) {
 	for seed := range uint64(15) {
 		random := rand.New(rand.NewPCG(seed, seed))
-		keyValue := standin.NewKeyValue()
+		keyValue := platform.New(standin.NewStore(bergamotgrade.SystemClock{}), math.Inf(1))
 		store := NewStore(&lossy{Platform: keyValue, random: random, old: map[string]bergamotgrade.Entry{}})
 		followers := []*Follower{newTestFollower(store), newTestFollower(store), newTestFollower(store)}
 		seen := map[int64]int{}
--- a/standin/command.go
+++ b/standin/command.go
@@ -11,6 +11,9 @@
 
 	"github.com/spf13/cobra"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	platformstandin "github.com/bergamotgrade/bergamotgrade/platform/standin"
 )
 
 // NewCommand returns the command line of the stand-ins.
@@ -61,7 +64,7 @@
 		Use:  "platform",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			return serve(command, address, NewPlatformServer(NewKeyValue()), nil)
+			return serve(command, address, platformstandin.NewStoreServer(platformstandin.NewStore(bergamotgrade.SystemClock{})), nil)
 		},
 	}
 	command.Flags().StringVar(&address, "address", "127.0.0.1:0", "`host:port` to serve on")
