--- a/entry/view.go
+++ b/entry/view.go
@@ -142,7 +142,7 @@
 		}
 	}
 	v.members = members
-	v.limiter.SetKnown(callers)
+	v.limiter.SetKnown(v.clock.Now(), callers)
 }
 
 // peerAddresses returns the inner addresses of the other registered VMs.
--- a/limit/fleet.go
+++ b/limit/fleet.go
@@ -24,9 +24,12 @@
 	peers map[string]*fleetPeer
 	// known is the number of VMs that admit requests, this one included.
 	known int
+	// shared is the share that the buckets have now.
+	shared float64
 }
 
 type fleetTeam struct {
+	limits   bergamotgrade.FleetTeam
 	bucket   Bucket
 	admitted uint64
 }
@@ -44,11 +47,15 @@
 }
 
 // SetKnown sets the number of VMs that admit requests, this one included.
-func (f *Fleet) SetKnown(vms int) { f.known = max(1, vms) }
+func (f *Fleet) SetKnown(now time.Time, vms int) {
+	f.known = max(1, vms)
+	f.resize(now)
+}
 
 // Prepare makes the buckets of the teams, so that they fill before a request
 // comes.
 func (f *Fleet) Prepare(now time.Time, teams map[string]bergamotgrade.FleetTeam) {
+	f.resize(now)
 	for _, team := range teams {
 		f.team(now, team)
 	}
@@ -78,6 +85,7 @@
 		clear(peer.admitted)
 	}
 	peer.heardAt = now
+	f.resize(now)
 	for name, count := range admitted {
 		before := peer.admitted[name]
 		if count <= before {
@@ -125,6 +133,7 @@
 	if team.Rate <= 0 {
 		return time.Time{}, true
 	}
+	f.resize(now)
 	known := f.team(now, team)
 	if known.bucket.Take(now, 1) {
 		known.admitted++
@@ -139,18 +148,36 @@
 
 // team returns the team's state with the limits that are in force now.
 func (f *Fleet) team(now time.Time, team bergamotgrade.FleetTeam) *fleetTeam {
-	share := f.share(now)
-	rate, capacity := team.Rate*share, max(1, team.Burst*share)
 	known, ok := f.teams[team.Name]
-	if !ok {
-		known = &fleetTeam{bucket: NewBucket(now, rate, capacity, 0)}
+	switch {
+	case !ok:
+		known = &fleetTeam{limits: team, bucket: NewBucket(now, team.Rate*f.shared, capacity(team, f.shared), 0)}
 		f.teams[team.Name] = known
-		return known
+	case known.limits != team:
+		known.limits = team
+		known.bucket.Resize(now, team.Rate*f.shared, capacity(team, f.shared))
 	}
-	known.bucket.Resize(now, rate, capacity)
 	return known
 }
 
+// resize gives all buckets the present share of their rates.
+func (f *Fleet) resize(now time.Time) {
+	share := f.share(now)
+	if share == f.shared {
+		return
+	}
+	f.shared = share
+	for _, team := range f.teams {
+		team.bucket.Resize(now, team.limits.Rate*share, capacity(team.limits, share))
+	}
+}
+
+// capacity is the part of the burst that falls to a share; a single request
+// always fits.
+func capacity(team bergamotgrade.FleetTeam, share float64) float64 {
+	return max(1, team.Burst*share)
+}
+
 // share is the part of all VMs that this one hears, itself included.
 func (f *Fleet) share(now time.Time) float64 {
 	heard := 1
--- /dev/null
+++ b/placement/board_test.go
@@ -0,0 +1,150 @@
+package placement
+
+import (
+	"fmt"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/scripttest"
+)
+
+func TestBoardScripts(t *testing.T) {
+	scripttest.Run(t, func() scripttest.Step {
+		return (&boardScript{now: time.Unix(1000, 0), board: NewBoard("vm1", "here")}).step
+	})
+}
+
+// boardScript is the state of one script.
+type boardScript struct {
+	now   time.Time
+	board *Board
+	hash  uint64
+}
+
+func (s *boardScript) step(f []string) string {
+	switch f[0] {
+	case "servers": // id@data-centre:slots[:draining] ...
+		s.board.SetServers(parseServers(f[1:]))
+	case "wait":
+		d, _ := time.ParseDuration(f[1])
+		s.now = s.now.Add(d)
+		s.board.Expire(s.now)
+	case "peer": // peer VM id=online/batch ...
+		s.board.SetPeer(s.now, f[1], parseLoads(f[2:]))
+	case "start": // start CLASS id [count]
+		for range count(f) {
+			s.board.Start(f[2], class(f[1]))
+		}
+	case "end": // end CLASS id OUTCOME [run time]
+		ran := time.Second
+		if len(f) > 4 {
+			ran, _ = time.ParseDuration(f[4])
+		}
+		s.board.End(s.now, f[2], class(f[1]), outcomes[f[3]], ran)
+	case "pick": // pick CLASS [avoid=id]: where the next request goes
+		return s.pick(f[1:])
+	case "spread": // spread CLASS count: how the next requests, all started, divide
+		return s.spread(class(f[1]), count(f[1:]))
+	case "yields":
+		return numbers(s.board.Yields())
+	case "expected": // expected AHEAD VMS: the wait
+		ahead, _ := strconv.Atoi(f[1])
+		vms, _ := strconv.Atoi(f[2])
+		return s.board.ExpectedWait("svc", ahead, vms).Round(time.Millisecond).String()
+	}
+	return ""
+}
+
+var outcomes = map[string]Outcome{"served": OutcomeServed, "failed": OutcomeFailed, "full": OutcomeFull, "left": OutcomeLeft}
+
+func class(name string) Class {
+	if name == "batch" {
+		return Batch
+	}
+	return Online
+}
+
+func count(f []string) int {
+	n, err := strconv.Atoi(f[len(f)-1])
+	if err != nil {
+		return 1
+	}
+	return n
+}
+
+func (s *boardScript) ask(f []string) Ask {
+	s.hash++
+	ask := Ask{Service: "svc", Class: class(f[0]), Avoid: map[string]bool{}, Hash: mix(s.hash)}
+	for _, option := range f[1:] {
+		if id, ok := strings.CutPrefix(option, "avoid="); ok {
+			ask.Avoid[id] = true
+		}
+	}
+	return ask
+}
+
+func (s *boardScript) pick(f []string) string {
+	record, ok := s.board.Pick(s.now, s.ask(f))
+	if !ok {
+		return "none"
+	}
+	return record.ServerID
+}
+
+func (s *boardScript) spread(c Class, n int) string {
+	starts := map[string]int{}
+	for range n {
+		name := "online"
+		if c == Batch {
+			name = "batch"
+		}
+		record, ok := s.board.Pick(s.now, s.ask([]string{name}))
+		if !ok {
+			starts["none"]++
+			continue
+		}
+		s.board.Start(record.ServerID, c)
+		starts[record.ServerID]++
+	}
+	return numbers(starts)
+}
+
+func numbers(byID map[string]int) string {
+	var parts []string
+	for id, n := range byID {
+		parts = append(parts, fmt.Sprintf("%s=%d", id, n))
+	}
+	sort.Strings(parts)
+	if len(parts) == 0 {
+		return "none"
+	}
+	return strings.Join(parts, " ")
+}
+
+func parseServers(fields []string) map[string]bergamotgrade.ServerRecord {
+	records := map[string]bergamotgrade.ServerRecord{}
+	for _, field := range fields {
+		id, rest, _ := strings.Cut(field, "@")
+		parts := strings.Split(rest, ":")
+		slots, _ := strconv.Atoi(parts[1])
+		records[id] = bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: parts[0], Slots: slots, Draining: len(parts) > 2}
+	}
+	return records
+}
+
+func parseLoads(fields []string) map[string]Load {
+	loads := map[string]Load{}
+	for _, field := range fields {
+		id, rest, _ := strings.Cut(field, "=")
+		online, batch, _ := strings.Cut(rest, "/")
+		var load Load
+		load[Online], _ = strconv.Atoi(online)
+		load[Batch], _ = strconv.Atoi(batch)
+		loads[id] = load
+	}
+	return loads
+}
