--- a/attempt.go
+++ b/attempt.go
@@ -24,6 +24,9 @@
 	ResumeAfter string
 	// Deadline is handed on to the server; zero hands on none.
 	Deadline time.Time
+	// HeadLimit ends an attempt whose answer has not begun after it; zero allows
+	// any wait.
+	HeadLimit time.Duration
 	// StallLimit ends an answer that pauses for longer; zero allows any pause.
 	StallLimit time.Duration
 	// Repeatable attempts may use a connection that has been idle for longer.
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -21,9 +21,9 @@
 	itemPause = 200 * time.Millisecond
 	// stallLimit is the silence after which an item goes on at another server.
 	stallLimit = 2 * time.Second
-	// ownerSilence is how long an owner may be silent before another VM takes its
-	// jobs.
-	ownerSilence = 1500 * time.Millisecond
+	// headLimit is how long an item waits for its first event, which is behind
+	// those of the requests that its server already has.
+	headLimit = 4 * time.Second
 	// checkInterval is the longest pause between two looks at all jobs.
 	checkInterval = 500 * time.Millisecond
 	// cleanInterval is the pause between two removals of expired jobs.
--- a/jobs/item_run.go
+++ b/jobs/item_run.go
@@ -122,7 +122,7 @@
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
 		RequestID: i.item.ItemID, Method: http.MethodPost, Target: i.item.Path, Host: job.spec.Host,
 		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
-		ResumeAfter: i.lastEventID, StallLimit: stallLimit, Repeatable: true,
+		ResumeAfter: i.lastEventID, HeadLimit: headLimit, StallLimit: stallLimit, Repeatable: true,
 	})
 	if err != nil {
 		return placement.OutcomeFailed, err
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -96,7 +96,12 @@
 			return s.accepted(submission, stored)
 		}
 		failure := bergamotgrade.AsError(err)
-		notStored = notStored && failure.NotRun()
+		if !failure.NotRun() {
+			notStored = false
+			if found, ok, err := s.repository.Reload(ctx, submission.JobID); err == nil && ok {
+				return s.accepted(submission, found)
+			}
+		}
 		if s.clock.Now().Add(storeRetry).After(patience) || !bergamotgrade.Sleep(ctx, storeRetry) {
 			s.log.Warn("job not accepted", "job", submission.JobID, "not_stored", notStored, "cause", err.Error())
 			if notStored {
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -136,6 +136,7 @@
 	if q.Len() == 0 {
 		if server, ok := d.board.Pick(now, ask); ok {
 			place := d.start(now, server, placement.Online)
+			d.yield()
 			d.mu.Unlock()
 			d.onLoad()
 			return place, nil
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -145,24 +145,15 @@
 	if req.Streams && req.Repeatable {
 		attempt.StallLimit = max(minStall, stallFactor*req.GapObjective)
 	}
-	headCtx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	if attempt.StallLimit > 0 && c.mayRunAgain() {
+	if c.mayRunAgain() {
 		// A server that is silent from the start costs only part of the time left.
-		limit := time.Duration(firstEventShare * float64(req.Deadline.Sub(sentAt)))
-		timer := time.AfterFunc(limit, func() { cancel(errSilent) })
-		defer timer.Stop()
-		defer func() { c.relay.observer.Observe("first_answer", c.relay.clock.Now().Sub(sentAt)) }()
-		answer, err := c.relay.exchanger.Exchange(headCtx, server, attempt)
-		timer.Stop()
-		return c.take(ctx, place, answer, err)
+		attempt.HeadLimit = time.Duration(firstEventShare * float64(req.Deadline.Sub(sentAt)))
 	}
-	answer, err := c.relay.exchanger.Exchange(headCtx, server, attempt)
+	answer, err := c.relay.exchanger.Exchange(ctx, server, attempt)
+	c.relay.observer.Observe("answer_head", c.relay.clock.Now().Sub(sentAt))
 	return c.take(ctx, place, answer, err)
 }
 
-var errSilent = errors.New("the backend server sent nothing for too long")
-
 // mayRunAgain reports whether another server may still run the request.
 func (c *course) mayRunAgain() bool {
 	return c.req.Repeatable && c.runs+1 < c.req.MaxAttempts
