--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -6,13 +6,22 @@
 	// valueShare is the part of the store's largest value that is used, which
 	// leaves room for the entry's own fields.
 	valueShare = 0.9
-	// maxCommitEntries is the store's bound on the entries of a commit.
+	// maxCommitEntries is the store's bound on the conditions, writes and deletions
+	// of a commit together.
 	maxCommitEntries = 32
+	// maxListed is the most results of one commit: each takes a condition and a
+	// write, and so does the job's head.
+	maxListed = maxCommitEntries/2 - 1
+	// maxBodyParts is the most parts of a job's body; the head takes a condition
+	// and a write.
+	maxBodyParts = maxCommitEntries - 2
 	// submitPatience is how long the acceptance of a job is tried; its caller
 	// tries another VM afterwards.
 	submitPatience = 1200 * time.Millisecond
-	// storeRetry is the pause before a call to the store is repeated.
-	storeRetry = 150 * time.Millisecond
+	// storeRetry is the pause before a call to the store is repeated; it doubles up
+	// to maxStoreRetry for results, which nobody waits for at once.
+	storeRetry    = 150 * time.Millisecond
+	maxStoreRetry = 600 * time.Millisecond
 	// cacheBytes bounds the results and bodies kept in memory.
 	cacheBytes = 24 << 20
 	// maxAnswerBytes bounds the results in one answer to a reader.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -390,6 +390,26 @@
 	qt.Assert(t, read, qt.DeepEquals, found)
 }
 
+// TestManyResultsAtOnce: results that gather while the store is away are listed
+// although they do not fit one commit.
+func TestManyResultsAtOnce(t *testing.T) {
+	f := newFleet()
+	f.store.lose = func(n int) string {
+		if n > 0 && n < 12 {
+			return "refused"
+		}
+		return ""
+	}
+	vm := f.start(t, "vm1")
+	var ids []string
+	for i := range 90 {
+		ids = append(ids, fmt.Sprint("item", i))
+	}
+	f.config.Route("h", "/b/").MaxWaitingTokens = 0
+	qt.Assert(t, vm.submit("j", ids...), qt.IsNil)
+	qt.Assert(t, byItem(vm.results(t, "j", 90, 10*time.Second)), qt.HasLen, 90)
+}
+
 // TestLargeBody: a body larger than a value of the store is kept whole.
 func TestLargeBody(t *testing.T) {
 	items := []Item{{ItemID: "a", Body: make([]byte, 2500)}, {ItemID: "b", Body: []byte("x")}}
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -155,10 +155,11 @@
 // list writes finished results to the store; done is true once the job needs
 // this process no more.
 func (j *ownedJob) list(ctx context.Context) (done bool) {
+	pause := storeRetry
 	for {
 		j.mu.Lock()
 		head := j.head
-		batch := j.finished[:min(len(j.finished), maxCommitEntries-1)]
+		batch := j.finished[:min(len(j.finished), maxListed)]
 		waiting := int64(0)
 		for _, item := range j.items {
 			if !item.finished {
@@ -175,9 +176,10 @@
 		switch {
 		case err != nil:
 			j.runner.log.Warn("results not listed", "job", j.id, "results", len(batch), "cause", err.Error())
-			if !bergamotgrade.Sleep(ctx, storeRetry) {
+			if !bergamotgrade.Sleep(ctx, pause) {
 				return true
 			}
+			pause = min(maxStoreRetry, 2*pause)
 		case applied:
 			j.runner.observer.Count("results_listed")
 			j.advance(current, len(batch))
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -29,7 +29,7 @@
 	if err != nil {
 		return Head{}, false, err
 	}
-	if len(parts)+1 > maxCommitEntries {
+	if len(parts) > maxBodyParts {
 		return Head{}, false, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the batch job is too large to be stored", "send it in several jobs").WithNotRun()
 	}
 	head.BodyParts = len(parts)
