--- a/vm/conn.go
+++ b/vm/conn.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"expvar"
 	"io"
+	"log"
 	"net"
 	"time"
 
@@ -17,7 +18,8 @@
 // newConn speaks JSON-RPC over a connection that has passed the handshake.
 func newConn(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler, metrics *expvar.Map) *jsonrpc2.Conn {
 	stream := jsonrpc2.NewBufferedStream(countedConn{conn, metrics}, codec{})
-	return jsonrpc2.NewConn(ctx, stream, handler)
+	// Calls report their own failures; the library's lines would not be structured.
+	return jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
 
 // countedConn counts the bytes of the inner protocol and ends a connection on
