--- a/entry/node.go
+++ b/entry/node.go
@@ -36,6 +36,8 @@
 	methodCopy = "copy"
 	// methodStore asks a VM for a call of the platform's store.
 	methodStore = "store"
+	// methodResults asks a VM for results of a job that it owns.
+	methodResults = "results"
 	// methodLevels asks a VM for what each team has left of its burst.
 	methodLevels = "levels"
 )
@@ -48,6 +50,12 @@
 	Watch bool `json:"watch,omitempty"`
 }
 
+// resultsCall is the question for a job's results from a position on.
+type resultsCall struct {
+	JobID string `json:"job_id"`
+	From  int    `json:"from"`
+}
+
 // Node is one VM.
 type Node struct {
 	settings    bergamotgrade.NodeSettings
@@ -66,6 +74,7 @@
 	inner      *vm.Server
 	membership *membership
 	ledger     *jobs.Ledger
+	repository *jobs.Repository
 	runner     *jobs.Runner
 	caller     *platform.Caller
 	mirrors    map[string]*follow.Mirror
@@ -102,11 +111,11 @@
 		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: inner, DataCentre: settings.DataCentre, Callers: callers},
 	}
 	n.ledger = jobs.NewLedger(log)
-	repository := jobs.NewRepository(n.kv, n.ledger, settings.StoreValueBytes)
-	service := jobs.NewService(n.clock, repository, n.ledger, n.view.RunnerFor, log)
+	n.repository = jobs.NewRepository(n.kv, n.ledger, settings.StoreValueBytes, n.resultsFromOwner)
+	service := jobs.NewService(n.clock, n.repository, n.ledger, n.view.RunnerFor, log)
 	n.runner = jobs.NewRunner(jobs.Config{
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Desk: n.desk, Exchanger: n.engine,
-		Repository: repository, Ledger: n.ledger, Observer: n.metrics, Log: log, StatusLife: settings.JobStatusLife,
+		Repository: n.repository, Ledger: n.ledger, Observer: n.metrics, Log: log, StatusLife: settings.JobStatusLife,
 	})
 	n.caller = platform.NewCaller(n.view, relay.New(n.clock, n.desk, n.engine, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
@@ -192,6 +201,8 @@
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "this VM does not reach the store either"}
 		}
 		return vm.Answer(*params, func(call storeCall) any { return makeStoreCall(ctx, n.kv.Direct(), call) })
+	case methodResults:
+		return vm.Answer(*params, func(call resultsCall) any { return n.repository.Cached(call.JobID, call.From) })
 	case methodLevels:
 		return vm.Answer(*params, func(struct{}) any { return n.view.levels() })
 	}
@@ -207,6 +218,22 @@
 	return &storeThrough{peers: n.peers, address: address}
 }
 
+// resultsFromOwner implements jobs.OwnerResults.
+func (n *Node) resultsFromOwner(ctx context.Context, jobID string, head jobs.Head, from int) []jobs.Result {
+	address, ok := n.view.peerAddresses()[head.Owner]
+	if !ok || !n.view.RunnerLives(head.Owner, head.OwnerIncarnation) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, copyTimeout)
+	defer cancel()
+	results, err := vm.Call[[]jobs.Result](ctx, n.peers, address, methodResults, resultsCall{JobID: jobID, From: from})
+	if err != nil {
+		n.log.Info("owner of a job gives no results; asking the store", "job", jobID, "owner", head.Owner, "cause", err.Error())
+		return nil
+	}
+	return results
+}
+
 // Watcher implements follow.Peers.
 func (n *Node) Watcher() (address string, ok bool) {
 	return n.view.watcher(n.settings.DataCentre, n.kv.Away())
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -100,6 +100,9 @@
 
 func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
 
+// noOwners has all results read from the store.
+func noOwners(context.Context, string, Head, int) []Result { return nil }
+
 type noObserver struct{}
 
 func (noObserver) Count(string)                  {}
@@ -170,7 +173,7 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := bergamotgrade.SystemClock{}
 	vm.ledger = NewLedger(log)
-	vm.repository = NewRepository(f.store, vm.ledger, 1<<20)
+	vm.repository = NewRepository(f.store, vm.ledger, 1<<20, noOwners)
 	vm.service = NewService(clock, vm.repository, vm.ledger, vm.RunnerFor, log)
 	desk := relay.NewDesk(clock, placement.NewBoard(name, "here"), func() {})
 	desk.SetServers(map[string]bergamotgrade.ServerRecord{"e": {ServerID: "e", Service: "svc", DataCentre: "here", Slots: 8}})
@@ -382,7 +385,7 @@
 	found := vm.results(t, "j", 2, 5*time.Second)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	ledger := NewLedger(log)
-	repository := NewRepository(f.store, ledger, 1<<20)
+	repository := NewRepository(f.store, ledger, 1<<20, noOwners)
 	ledger.Put("j", Head{Team: "team", Items: 2, Revision: 1})
 	late := NewService(bergamotgrade.SystemClock{}, repository, ledger, vm.RunnerFor, log)
 	_, read, err := late.Results(context.Background(), "team", "j", 0, time.Now())
@@ -410,6 +413,27 @@
 	qt.Assert(t, byItem(vm.results(t, "j", 90, 10*time.Second)), qt.HasLen, 90)
 }
 
+// TestResultsFromTheOwner: results come from the owner's memory where it has them,
+// and only what it lacks from the store.
+func TestResultsFromTheOwner(t *testing.T) {
+	f := newFleet()
+	vm := f.start(t, "vm1")
+	qt.Assert(t, vm.submit("j", "a", "b", "c"), qt.IsNil)
+	found := vm.results(t, "j", 3, 5*time.Second)
+	asked := 0
+	ledger := NewLedger(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	reader := NewRepository(f.store, ledger, 1<<20, func(_ context.Context, jobID string, _ Head, from int) []Result {
+		asked++
+		return vm.repository.Cached(jobID, from)[:1]
+	})
+	head, _, err := reader.Find(context.Background(), "j")
+	qt.Assert(t, err, qt.IsNil)
+	read, err := reader.Results(context.Background(), "j", head, 0)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, read, qt.DeepEquals, found)
+	qt.Assert(t, asked, qt.Equals, 1)
+}
+
 // TestLargeBody: a body larger than a value of the store is kept whole.
 func TestLargeBody(t *testing.T) {
 	items := []Item{{ItemID: "a", Body: make([]byte, 2500)}, {ItemID: "b", Body: []byte("x")}}
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -15,11 +15,17 @@
 	ledger     *Ledger
 	valueBytes int
 	cache      *cache
+	// owners reads results from the memory of their jobs' owners.
+	owners OwnerResults
 }
 
+// OwnerResults asks a job's owner for listed results from a position on; none
+// means that the store has to be asked.
+type OwnerResults func(ctx context.Context, jobID string, head Head, from int) []Result
+
 // NewRepository returns a repository whose values hold at most valueBytes.
-func NewRepository(kv bergamotgrade.KeyValue, ledger *Ledger, valueBytes int) *Repository {
-	return &Repository{kv: kv, ledger: ledger, valueBytes: int(valueShare * float64(valueBytes)), cache: newCache(cacheBytes)}
+func NewRepository(kv bergamotgrade.KeyValue, ledger *Ledger, valueBytes int, owners OwnerResults) *Repository {
+	return &Repository{kv: kv, ledger: ledger, valueBytes: int(valueShare * float64(valueBytes)), cache: newCache(cacheBytes), owners: owners}
 }
 
 // Create stores a new job whole. created is false where the job was there
@@ -180,6 +186,12 @@
 	if complete {
 		return found, nil
 	}
+	for i, result := range r.owners(ctx, jobID, head, from+len(found)) {
+		r.cache.put(resultKey(jobID, from+len(found)+i), result, len(result.Text))
+	}
+	if found, complete = r.cachedResults(jobID, head, from); complete {
+		return found, nil
+	}
 	for _, stale := range []bool{true, false} {
 		if stale && !r.settled(head) {
 			continue
@@ -202,6 +214,17 @@
 	return found, nil
 }
 
+// Cached returns the job's listed results from a position on, as far as they are
+// in this VM's memory.
+func (r *Repository) Cached(jobID string, from int) []Result {
+	head, ok, _ := r.ledger.Head(jobID)
+	if !ok {
+		return nil
+	}
+	found, _ := r.cachedResults(jobID, head, from)
+	return found
+}
+
 // settled reports whether the job has been complete long enough for a stale
 // read to hold all of it.
 func (r *Repository) settled(head Head) bool {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -123,6 +123,9 @@
 		case !head.Open():
 		case mine:
 			r.adopt(ctx, id, head)
+		case head.Owner == r.self:
+			// The process before this one has ended, so nobody else need be asked.
+			r.running.Go(func() { r.claim(ctx, id, head) })
 		case !r.fleet.RunnerLives(head.Owner, head.OwnerIncarnation):
 			if vmID, incarnation := r.fleet.RunnerFor(id); vmID == r.self && incarnation == r.incarnation {
 				r.running.Go(func() { r.claim(ctx, id, head) })
