--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -33,6 +33,11 @@
 	// headLimit is how long an item waits for its first event, which is behind
 	// those of the requests that its server already has.
 	headLimit = 4 * time.Second
+	// lateYield sets runs that are late already behind all others when some have to
+	// make room; no job is due that long.
+	lateYield = time.Hour
+	// itemRunWeight is the weight of the newest item in the mean run time.
+	itemRunWeight = 0.1
 	// checkInterval is the longest pause between two looks at all jobs.
 	checkInterval = 500 * time.Millisecond
 	// cleanInterval is the pause between two removals of expired jobs.
--- a/jobs/item_run.go
+++ b/jobs/item_run.go
@@ -23,6 +23,8 @@
 	item  Item
 	index int
 	hash  uint64
+	// urgency is that of the last look for items to start; the runner sets it.
+	urgency urgency
 
 	finished  bool
 	running   bool
@@ -48,7 +50,7 @@
 	if i.running || i.finished || i.job.ctx.Err() != nil {
 		return nil
 	}
-	ctx, place, ok := i.job.runner.desk.AcquireBatch(i.job.ctx, service, i.avoid, i.job.spec.Due())
+	ctx, place, ok := i.job.runner.desk.AcquireBatch(i.job.ctx, service, i.avoid, i.urgency.yieldDue())
 	if !ok {
 		return nil
 	}
@@ -61,6 +63,7 @@
 	runner := i.job.runner
 	server := place.Server()
 	startedAt := runner.clock.Now()
+	whole := i.lastEventID == ""
 	outcome, err := i.attempt(place.ctx, server)
 	yielded := errors.Is(context.Cause(place.ctx), relay.ErrYielded)
 	if place.ctx.Err() != nil && err != nil {
@@ -70,7 +73,11 @@
 	switch {
 	case err == nil:
 		runner.observer.Count("items_done")
-		runner.observer.Observe("item", runner.clock.Now().Sub(startedAt))
+		ran := runner.clock.Now().Sub(startedAt)
+		runner.observer.Observe("item", ran)
+		if whole {
+			runner.noteRun(ran)
+		}
 		i.job.finish(i, Result{ItemID: i.item.ItemID, State: ResultDone, Text: strings.Join(i.text, "\n")})
 	case errors.Is(err, errNeverDone):
 		i.abandonNow("server " + server.ServerID + " says that it can never be done")
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -41,6 +41,8 @@
 	running sync.WaitGroup
 	// wake has the runner look for items that can start.
 	wake chan struct{}
+	// itemRun is the mean run time of items; zero while none has been done.
+	itemRun time.Duration
 	// stopping is set once no item is to be started any more.
 	stopping bool
 }
@@ -175,8 +177,8 @@
 	}
 }
 
-// startItems starts as many waiting items as there are places, those of the
-// earliest due jobs first.
+// startItems starts as many waiting items as there are places, the most urgent
+// first.
 func (r *Runner) startItems(ctx context.Context) {
 	config := r.fleet.Configuration()
 	if config == nil {
@@ -207,8 +209,8 @@
 	}
 }
 
-// waitingItems returns the items that may start now, in the order of their due
-// times.
+// waitingItems returns the items that may start now, the most urgent
+// first.
 func (r *Runner) waitingItems(now time.Time) []*itemRun {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -219,16 +221,23 @@
 	for _, job := range r.owned {
 		waiting = append(waiting, job.waiting(now)...)
 	}
-	sort.Slice(waiting, func(i, j int) bool {
-		a, b := waiting[i], waiting[j]
-		if a.job.spec.DueAt != b.job.spec.DueAt {
-			return a.job.spec.DueAt < b.job.spec.DueAt
-		}
-		return a.index < b.index
-	})
+	for _, item := range waiting {
+		item.urgency = urgencyOf(now, item.job.spec.Due(), r.itemRun, item.index)
+	}
+	sort.Slice(waiting, func(i, j int) bool { return waiting[i].urgency.before(waiting[j].urgency) })
 	return waiting
 }
 
+// noteRun takes the run time of an item that ran without a break.
+func (r *Runner) noteRun(ran time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.itemRun == 0 {
+		r.itemRun = ran
+	}
+	r.itemRun += time.Duration(itemRunWeight * float64(ran-r.itemRun))
+}
+
 // Stop ends all items; what they have generated goes on at another VM.
 func (r *Runner) Stop() {
 	r.mu.Lock()
