--- a/entry/command.go
+++ b/entry/command.go
@@ -5,6 +5,8 @@
 	"fmt"
 
 	"github.com/spf13/cobra"
+
+	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
 // NewCommand returns the command line of a VM on the users' platform.
@@ -27,9 +29,8 @@
 	command := &cobra.Command{
 		Use:   name,
 		Short: short,
-		Long: short + ". The settings file is the one that the environment variable\n" +
-			"BERGAMOTGRADE_BOOT names. SIGTERM stops the VM without cutting a request;\n" +
-			"SIGHUP has the settings read again.",
+		Long: short + ". The environment variable " + platform.SettingsVariable + " names the settings file.\n" +
+			"SIGTERM stops the VM without cutting a request; SIGHUP has the settings read again.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
 			if err := Main(command.Context(), metricsPort); err != nil {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -1,10 +1,7 @@
 package entry
 
 import (
-	"bytes"
 	"context"
-	"encoding/base64"
-	"encoding/json"
 	"fmt"
 	"io"
 	"log/slog"
@@ -63,18 +60,9 @@
 // configure writes the next configuration, in which the keys belong to one team.
 func (f *testFleet) configure(keys ...string) {
 	f.version += 3
-	body, err := json.Marshal(map[string]any{
-		"version": f.version,
-		"routes": []map[string]any{
-			{"name": "once", "host": "h", "prefix": "/once/", "kind": "stream", "service": "svc", "attempts": 1, "timeoutMs": 3000, "targetLatencyMs": 1000, "gapTargetMs": 300},
-			{"name": "resume", "host": "h", "prefix": "/resume/", "kind": "stream", "service": "svc", "attempts": 3, "timeoutMs": 3000, "targetLatencyMs": 1000, "gapTargetMs": 300, "allowResume": true},
-			{"name": "jobs", "host": "h", "prefix": "/jobs/", "kind": "batch", "service": "svc", "attempts": 3, "timeoutMs": 3000, "targetLatencyMs": 500, "runTargetMs": 10000, "retentionS": 60},
-		},
-		"services": []map[string]any{{"name": "svc"}},
-		"tenants":  []map[string]any{{"name": "team", "keys": keys, "ratePerS": 2000, "burst": 2000}},
-	})
+	write, err := standin.Configuration(f.version, "svc", keys...)
 	qt.Assert(f.t, err, qt.IsNil)
-	f.write(bergamotgrade.KeyWrite{Key: "op/config", Value: body})
+	f.write(write)
 }
 
 func (f *testFleet) addEngine(id string) *standin.Engine {
@@ -123,59 +111,34 @@
 	f.t.Fatalf("not within %s: %s", within, what)
 }
 
-// call sends one request to a VM.
-func (n *testNode) call(method, path, key, id, body string) (int, string, http.Header, error) {
-	req, err := http.NewRequest(method, "http://"+n.settings.CallerAddress+path, strings.NewReader(body))
-	if err != nil {
-		return 0, "", nil, err
-	}
-	req.Host = "h"
-	req.Header.Set("Bergamotgrade-Attempt-Id", id)
-	req.Header.Set("Bergamotgrade-Token-Usage", "10,5")
-	req.Header.Set("Bergamotgrade-Deadline-Remaining", "3000")
-	req.Header.Set("Authorization", "Bearer "+key)
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return 0, "", nil, err
-	}
-	defer res.Body.Close()
-	data, err := io.ReadAll(res.Body)
-	return res.StatusCode, string(data), res.Header, err
-}
-
-func text(id string, from, to int) string {
-	var b strings.Builder
-	for n := from; n <= to; n++ {
-		fmt.Fprintf(&b, "id: %d\ndata: %s/%d\n\n", n, id, n)
-	}
-	return b.String()
+// caller returns a caller of the VM with the key.
+func (n *testNode) caller(key string) standin.Caller {
+	return standin.Caller{Address: n.settings.CallerAddress, Key: key}
 }
 
 // TestWholePath serves a stream of each kind, refuses what is not allowed, and
 // resumes a stream that breaks.
 func TestWholePath(t *testing.T) {
 	f := newTestFleet(t)
-	first, second := f.addEngine("e1"), f.addEngine("e2")
+	engines := []*standin.Engine{f.addEngine("e1"), f.addEngine("e2")}
 	vm := f.addVM(1, true)
-	status, body, header, err := vm.call("POST", "/once/x", "k1", "a", "")
+	reply, err := vm.caller("k1").Stream(standin.OncePath, "a")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusOK)
-	qt.Assert(t, body, qt.Equals, text("a", 1, 5))
-	qt.Assert(t, header.Get("Bergamotgrade-Server-Seal"), qt.Equals, "seal-a")
-	for path, want := range map[string]int{"/none/x": http.StatusNotFound, "/once/x": http.StatusUnauthorized} {
-		status, _, _, err := vm.call("POST", path, "stranger", "b", "")
+	qt.Assert(t, reply, qt.Equals, standin.Reply{Status: http.StatusOK, Body: standin.StreamText("a"), Signature: "seal-a"})
+	for path, want := range map[string]int{"/none/x": http.StatusNotFound, standin.OncePath: http.StatusUnauthorized} {
+		reply, err := vm.caller("stranger").Stream(path, "b")
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, status, qt.Equals, want)
+		qt.Assert(t, reply.Status, qt.Equals, want)
 	}
-	first.BreakAfter(2)
-	second.BreakAfter(2)
-	status, body, _, err = vm.call("POST", "/resume/x", "k1", "c", "")
+	for _, engine := range engines {
+		engine.BreakAfter(2)
+	}
+	reply, err = vm.caller("k1").Stream(standin.ResumePath, "c")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusOK)
-	qt.Assert(t, body, qt.Equals, text("c", 1, 5))
-	_, body, _, err = vm.call("POST", "/once/x", "k1", "d", "")
+	qt.Assert(t, reply.Body, qt.Equals, standin.StreamText("c"))
+	reply, err = vm.caller("k1").Stream(standin.OncePath, "d")
 	qt.Assert(t, err, qt.IsNotNil) // it breaks off and must not look complete
-	qt.Assert(t, strings.HasPrefix(text("d", 1, 5), body), qt.IsTrue)
+	qt.Assert(t, strings.HasPrefix(standin.StreamText("d"), reply.Body), qt.IsTrue)
 }
 
 // TestConfigurationAndServersAreFollowed changes keys and drains an engine while
@@ -188,18 +151,18 @@
 	f.configure("k2")
 	for _, vm := range vms {
 		f.eventually("new key works and old one does not", time.Second, func() bool {
-			fresh, _, _, _ := vm.call("POST", "/once/x", "k2", "a", "")
-			old, _, _, _ := vm.call("POST", "/once/x", "k1", "b", "")
-			return fresh == http.StatusOK && old == http.StatusUnauthorized
+			fresh, _ := vm.caller("k2").Stream(standin.OncePath, "a")
+			old, _ := vm.caller("k1").Stream(standin.OncePath, "b")
+			return fresh.Status == http.StatusOK && old.Status == http.StatusUnauthorized
 		})
 	}
 	f.write(draining.Register("127.0.0.1:1", "draining"))
 	time.Sleep(time.Second)
 	before := len(draining.Starts())
 	for i := range 10 {
-		status, _, _, err := vms[i%2].call("POST", "/once/x", "k2", fmt.Sprint("c", i), "")
+		reply, err := vms[i%2].caller("k2").Stream(standin.OncePath, fmt.Sprint("c", i))
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, status, qt.Equals, http.StatusOK)
+		qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
 	}
 	qt.Assert(t, len(draining.Starts()), qt.Equals, before)
 }
@@ -209,38 +172,26 @@
 func TestStoreAway(t *testing.T) {
 	f := newTestFleet(t)
 	f.addEngine("e1")
-	vm := f.addVM(1, true)
+	caller := f.addVM(1, true).caller("k1")
 	f.server.SetFaults(standin.StoreFaults{Down: true})
 	time.Sleep(1500 * time.Millisecond)
-	status, _, _, err := vm.call("POST", "/once/x", "k1", "a", "")
+	reply, err := caller.Stream(standin.OncePath, "a")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusOK)
-	status, _, header, err := vm.call("POST", "/jobs/j", "k1", "j", jobBody("i1"))
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
+	reply, err = caller.Submit("j", "i1")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
-	qt.Assert(t, header.Get("Retry-After"), qt.Not(qt.Equals), "")
-	status, _, _, err = vm.call("GET", "/api/lots/j", "k1", "", "")
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, reply.RetryAfter, qt.Not(qt.Equals), "")
+	reply, _, _, err = caller.Results("j")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusServiceUnavailable)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusServiceUnavailable)
 	f.server.SetFaults(standin.StoreFaults{})
 	f.eventually("job is accepted", 3*time.Second, func() bool {
-		status, _, _, _ := vm.call("POST", "/jobs/j", "k1", "j", jobBody("i1"))
-		return status == http.StatusAccepted
+		reply, _ := caller.Submit("j", "i1")
+		return reply.Status == http.StatusAccepted
 	})
 }
 
-func jobBody(items ...string) string {
-	var list []map[string]any
-	for _, id := range items {
-		list = append(list, map[string]any{
-			"identifier": id, "path": "/jobs/x/" + id, "headers": map[string]string{"Bergamotgrade-Token-Usage": "10,5"},
-			"body": base64.StdEncoding.EncodeToString([]byte("body of " + id)), "tokens": 15,
-		})
-	}
-	body, _ := json.Marshal(map[string]any{"items": list})
-	return string(body)
-}
-
 // TestJobs submits a job at one VM, reads and ends it at another one, while a disk
 // VM runs its items; the owner is stopped midway.
 func TestJobs(t *testing.T) {
@@ -258,60 +209,53 @@
 		ids = append(ids, fmt.Sprint("item", i))
 	}
 	for _, vm := range vms {
-		status, _, _, err := vm.call("POST", "/jobs/j", "k1", "j", jobBody(ids...))
+		reply, err := vm.caller("k1").Submit("j", ids...)
 		qt.Assert(t, err, qt.IsNil)
-		qt.Assert(t, status, qt.Equals, http.StatusAccepted)
+		qt.Assert(t, reply.Status, qt.Equals, http.StatusAccepted)
 	}
-	_, body, _, err := vms[1].call("GET", "/api/items/j?identifier=item29", "k1", "", "")
+	reply, err := vms[1].caller("k1").ItemBody("j", "item29")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, body, qt.Equals, "body of item29")
-	var read struct {
-		Total   int              `json:"total"`
-		Next    int              `json:"next"`
-		Results []map[string]any `json:"results"`
-	}
+	qt.Assert(t, reply.Body, qt.Equals, "body of item29")
+	var results []standin.Result
 	look := func(vm *testNode) int {
-		_, body, _, err := vm.call("GET", "/api/lots/j?after=0", "k1", "", "")
+		_, total, found, err := vm.caller("k1").Results("j")
 		qt.Assert(t, err, qt.IsNil)
-		read.Results = nil
-		_ = json.NewDecoder(bytes.NewReader([]byte(body))).Decode(&read)
-		return len(read.Results)
+		qt.Assert(t, total, qt.Equals, 30)
+		results = found
+		return len(found)
 	}
 	f.eventually("first results", 5*time.Second, func() bool { return look(vms[1]) > 0 })
-	first := read.Results[0]
+	first := results[0]
 	disk.stop()
 	<-disk.stopped
 	f.eventually("all results", 10*time.Second, func() bool { return look(vms[0]) == 30 })
-	qt.Assert(t, read.Total, qt.Equals, 30)
-	qt.Assert(t, read.Next, qt.Equals, 30)
-	qt.Assert(t, read.Results[0], qt.DeepEquals, first)
-	id := first["identifier"].(string)
-	qt.Assert(t, first["text"], qt.Equals, fmt.Sprintf("%[1]s/1\n%[1]s/2\n%[1]s/3\n%[1]s/4\n%[1]s/5", id))
-	status, _, _, err := vms[1].call("DELETE", "/api/lots/j", "k1", "", "")
+	qt.Assert(t, results[0], qt.Equals, first)
+	qt.Assert(t, first.State, qt.Equals, "done")
+	qt.Assert(t, first.Text, qt.Equals, fmt.Sprintf("%[1]s/1\n%[1]s/2\n%[1]s/3\n%[1]s/4\n%[1]s/5", first.Identifier))
+	reply, err = vms[1].caller("k1").End("j")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusOK)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
 }
 
-// TestPlannedStop stops a VM while clients go on to use their open connections: no
+// TestPlannedStop stops a VM while callers go on to use their open connections: no
 // request is cut.
 func TestPlannedStop(t *testing.T) {
 	f := newTestFleet(t)
 	f.addEngine("e1")
 	f.addEngine("e2")
 	vm := f.addVM(1, true)
-	var clients sync.WaitGroup
-	for c := range 4 {
-		clients.Go(func() {
-			for i := 0; ; i++ {
-				status, body, header, err := vm.call("POST", "/once/x", "k1", fmt.Sprintf("%d-%d", c, i), "")
-				if err != nil && vm.view.Leaving() && !vm.ready() {
+	var callers sync.WaitGroup
+	served := make([]int, 4)
+	for c := range served {
+		callers.Go(func() {
+			for {
+				reply, err := vm.caller("k1").Stream(standin.OncePath, fmt.Sprintf("%d-%d", c, served[c]))
+				if err != nil && vm.view.Leaving() {
 					return // no new connections are taken any more
 				}
 				qt.Check(t, err, qt.IsNil)
-				qt.Check(t, status, qt.Equals, http.StatusOK, qt.Commentf(body))
-				if header.Get("Connection") == "close" && i > 400 {
-					return
-				}
+				qt.Check(t, reply.Status, qt.Equals, http.StatusOK, qt.Commentf(reply.Body))
+				served[c]++
 			}
 		})
 	}
@@ -319,8 +263,11 @@
 	began := time.Now()
 	vm.stop()
 	<-vm.stopped
-	clients.Wait()
+	callers.Wait()
 	qt.Assert(t, time.Since(began) < 8*time.Second, qt.IsTrue)
+	for _, count := range served {
+		qt.Assert(t, count > 10, qt.IsTrue)
+	}
 }
 
 // TestRetirement: a disk VM that is to be retired says that it keeps nothing.
@@ -329,9 +276,10 @@
 	f.addEngine("e1")
 	f.addVM(1, true)
 	f.addVM(3, false)
-	f.write(bergamotgrade.KeyWrite{Key: "op/retire/vm3", Value: []byte(`{"durationS":10}`)})
+	order, answerKey := standin.Retire("vm3")
+	f.write(order)
 	f.eventually("retirement is answered", 3*time.Second, func() bool {
-		entry, _ := f.store.Read(context.Background(), "status/retire/vm3", false)
+		entry, _ := f.store.Read(context.Background(), answerKey, false)
 		return string(entry.Value) == `{"state":"done"}`
 	})
 }
@@ -349,10 +297,10 @@
 	f.eventually("VM notices that it is cut off", 3*time.Second, cut.kv.Away)
 	f.configure("k2")
 	f.eventually("new configuration", 5*time.Second, func() bool {
-		status, _, _, _ := cut.call("POST", "/once/x", "k2", "a", "")
-		return status == http.StatusOK
+		reply, _ := cut.caller("k2").Stream(standin.OncePath, "a")
+		return reply.Status == http.StatusOK
 	})
-	status, _, _, err := cut.call("POST", "/jobs/j", "k2", "j", jobBody("i1"))
+	reply, err := cut.caller("k2").Submit("j", "i1")
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, status, qt.Equals, http.StatusAccepted)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusAccepted)
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
@@ -91,11 +92,19 @@
 	v.log.Info("configuration in force", "version", next.Version, "former_version", before, "revision", entry.Revision)
 }
 
-// Admit takes one request of the team, or returns when to try again.
-func (v *view) Admit(team bergamotgrade.FleetTeam) (retryAt time.Time, ok bool) {
+// Admit implements platform.Fleet.
+func (v *view) Admit(team bergamotgrade.FleetTeam) error {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	return v.limiter.Admit(v.clock.Now(), team)
+	now := v.clock.Now()
+	retryAt, ok := v.limiter.Admit(now, team)
+	if ok {
+		return nil
+	}
+	heard, known := v.limiter.Heard(now)
+	return bergamotgrade.NewError(bergamotgrade.KindRateExceeded, "the team's rate is used up", "try again after the time in Retry-After").
+		WithNotRun().WithRetryAt(retryAt).
+		WithCause(errors.Newf("rate %g/s and burst %g over all VMs, %d of %d VMs heard", team.Rate, team.Burst, heard, known))
 }
 
 // Leaving reports whether this VM stops.
--- a/jobs/order_test.go
+++ b/jobs/order_test.go
@@ -20,9 +20,8 @@
 
 // replayItem is one item of a replay.
 type replayItem struct {
-	job     replayJob
-	index   int
-	started bool
+	job   replayJob
+	index int
 }
 
 // readReplay reads jobs from a file of lines "AT DUE ITEMS RUN".
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -36,9 +36,11 @@
 	log         *slog.Logger
 	statusLife  time.Duration
 
-	mu      sync.Mutex
-	owned   map[string]*ownedJob
-	running sync.WaitGroup
+	mu    sync.Mutex
+	owned map[string]*ownedJob
+	// claiming holds the jobs of which a claim is under way.
+	claiming map[string]bool
+	running  sync.WaitGroup
 	// wake has the runner look for items that can start.
 	wake chan struct{}
 	// itemRun is the mean run time of items; zero while none has been done.
@@ -69,7 +71,7 @@
 		clock: config.Clock, self: config.VMID, incarnation: config.Incarnation, fleet: config.Fleet,
 		desk: config.Desk, exchanger: config.Exchanger, repository: config.Repository, ledger: config.Ledger,
 		observer: config.Observer, log: config.Log, statusLife: config.StatusLife,
-		owned: map[string]*ownedJob{}, wake: make(chan struct{}, 1),
+		owned: map[string]*ownedJob{}, claiming: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -127,10 +129,10 @@
 			r.adopt(ctx, id, head)
 		case head.Owner == r.self:
 			// The process before this one has ended, so nobody else need be asked.
-			r.running.Go(func() { r.claim(ctx, id, head) })
+			r.startClaim(ctx, id, head)
 		case !r.fleet.RunnerLives(head.Owner, head.OwnerIncarnation):
 			if vmID, incarnation := r.fleet.RunnerFor(id); vmID == r.self && incarnation == r.incarnation {
-				r.running.Go(func() { r.claim(ctx, id, head) })
+				r.startClaim(ctx, id, head)
 			}
 		}
 	}
@@ -142,8 +144,24 @@
 	return r.owned[id]
 }
 
-// claim makes this process the job's owner.
-func (r *Runner) claim(ctx context.Context, id string, head Head) {
+// startClaim claims the job unless a claim is under way.
+func (r *Runner) startClaim(ctx context.Context, id string, head Head) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.claiming[id] || r.stopping {
+		return
+	}
+	r.claiming[id] = true
+	r.running.Go(func() { r.runClaim(ctx, id, head) })
+}
+
+// runClaim makes this process the job's owner.
+func (r *Runner) runClaim(ctx context.Context, id string, head Head) {
+	defer func() {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		delete(r.claiming, id)
+	}()
 	next := head
 	next.Owner, next.OwnerIncarnation = r.self, r.incarnation
 	current, applied, err := r.repository.ReplaceHead(ctx, id, next)
--- a/limit/fleet.go
+++ b/limit/fleet.go
@@ -180,7 +180,14 @@
 
 // share is the part of all VMs that this one hears, itself included.
 func (f *Fleet) share(now time.Time) float64 {
-	heard := 1
+	heard, known := f.Heard(now)
+	return min(1, float64(heard)/float64(known))
+}
+
+// Heard returns how many VMs are heard now and how many are known, this one
+// included.
+func (f *Fleet) Heard(now time.Time) (heard, known int) {
+	heard = 1
 	for id, peer := range f.peers {
 		switch silence := now.Sub(peer.heardAt); {
 		case silence <= peerSilence:
@@ -189,5 +196,5 @@
 			delete(f.peers, id)
 		}
 	}
-	return min(1, float64(heard)/float64(f.known))
+	return heard, f.known
 }
--- a/placement/board.go
+++ b/placement/board.go
@@ -226,7 +226,7 @@
 
 // rank says how good a server is for the request; false means no place.
 func (b *Board) rank(e *engine, ask Ask) (rank, bool) {
-	r := rank{tie: mix(ask.Hash ^ xxhash.Sum64String(e.record.ServerID))}
+	r := rank{tie: bergamotgrade.MixHash(ask.Hash ^ xxhash.Sum64String(e.record.ServerID))}
 	r.weight = float64(e.total()) / float64(e.record.Slots)
 	if e.record.DataCentre != b.dataCentre {
 		r.weight += float64(e.record.Slots)
@@ -334,12 +334,3 @@
 	}
 	return time.Duration(float64(ahead+1) * float64(max(1, vms)) * float64(b.runTime) / float64(slots))
 }
-
-// mix spreads the bits of x, so that near hashes rank servers differently.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
--- a/placement/board_test.go
+++ b/placement/board_test.go
@@ -78,7 +78,7 @@
 
 func (s *boardScript) ask(f []string) Ask {
 	s.hash++
-	ask := Ask{Service: "svc", Class: class(f[0]), Avoid: map[string]bool{}, Hash: mix(s.hash)}
+	ask := Ask{Service: "svc", Class: class(f[0]), Avoid: map[string]bool{}, Hash: bergamotgrade.MixHash(s.hash)}
 	for _, option := range f[1:] {
 		if id, ok := strings.CutPrefix(option, "avoid="); ok {
 			ask.Avoid[id] = true
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/queue"
@@ -143,14 +145,17 @@
 		}
 	}
 	wait := d.board.ExpectedWait(want.Service, q.Len(), d.vms)
+	slots, used := d.board.Places(want.Service, placement.Online)
+	refusal := overloaded().WithRetryAt(now.Add(retrySpread(wait))).
+		WithCause(errors.Newf("%d of %d places in use by online requests, %d requests wait here, expected wait %s", used, slots, q.Len(), wait))
 	if want.MayRefuse && now.Add(wait).After(want.OnTimeUntil) {
 		d.mu.Unlock()
-		return nil, overloaded().WithRetryAt(now.Add(retrySpread(wait)))
+		return nil, refusal
 	}
 	item := &queue.Item{TeamID: want.Team, Cost: want.Cost, Class: queue.ClassOnline, Deadline: want.Deadline}
 	if !q.Push(item) {
 		d.mu.Unlock()
-		return nil, overloaded().WithRetryAt(now.Add(retrySpread(wait)))
+		return nil, refusal
 	}
 	w := &waiter{ask: ask, result: make(chan *Place, 1)}
 	d.waiters[item] = w
--- a/route/pool.go
+++ b/route/pool.go
@@ -266,7 +266,7 @@
 	top := make([]rank, 0, n+1)
 	for _, id := range p.order {
 		s := p.servers[id]
-		score := mix(hash ^ xxhash.Sum64String(id))
+		score := bergamotgrade.MixHash(hash ^ xxhash.Sum64String(id))
 		at := len(top)
 		for at > 0 && top[at-1].score < score {
 			at--
@@ -286,15 +286,6 @@
 	return servers
 }
 
-// mix spreads the bits of x, so that near hashes rank servers differently.
-func mix(x uint64) uint64 {
-	x ^= x >> 33
-	x *= 0xff51afd7ed558ccd
-	x ^= x >> 33
-	x *= 0xc4ceb9fe1a85ec53
-	return x ^ x>>33
-}
-
 func (p *Pool) meanScore(now time.Time) float64 {
 	sum, count := 0.0, 0
 	for _, s := range p.servers {
