--- a/entry/node.go
+++ b/entry/node.go
@@ -118,6 +118,7 @@
 		Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
 		StoreAway: n.kv.Away(),
 		Admitted:  n.view.admitted(),
+		Suspects:  n.desk.Suspects(),
 	}
 	for id, load := range n.desk.Load() {
 		message.Load = append(message.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
@@ -135,7 +136,7 @@
 	for _, load := range message.Load {
 		byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
 	}
-	n.desk.SetPeer(message.VMID, byServer, callers)
+	n.desk.SetPeer(message.VMID, byServer, message.Suspects, callers)
 	if message.Callers && n.view.needsLevels() {
 		n.background.Go(func() { n.runLevels(message.VMID) })
 	}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -29,6 +29,8 @@
 	StoreAway bool
 	// Load lists requests by backend server.
 	Load []ServerLoad
+	// Suspects lists backend servers that have failed this VM of late.
+	Suspects []string
 	// Admitted counts the admitted requests by team since the start.
 	Admitted map[string]uint64
 }
--- a/placement/board.go
+++ b/placement/board.go
@@ -31,6 +31,8 @@
 // peerLoad is what a peer said of its requests.
 type peerLoad struct {
 	byServer map[string]Load
+	// suspects lists servers that have failed the peer of late.
+	suspects []string
 	heardAt  time.Time
 }
 
@@ -39,7 +41,9 @@
 	record bergamotgrade.ServerRecord
 	own    Load
 	// others is the load by peers that were heard of late.
-	others       Load
+	others Load
+	// suspectedBy counts the peers that the server has failed of late.
+	suspectedBy  int
 	failures     int
 	ejections    int
 	ejectedUntil time.Time
@@ -105,9 +109,10 @@
 	return false
 }
 
-// SetPeer takes a peer's account of its requests by server.
-func (b *Board) SetPeer(now time.Time, vmID string, byServer map[string]Load) {
-	b.peers[vmID] = &peerLoad{byServer: byServer, heardAt: now}
+// SetPeer takes a peer's account of its requests by server and of the servers that
+// have failed it of late.
+func (b *Board) SetPeer(now time.Time, vmID string, byServer map[string]Load, suspects []string) {
+	b.peers[vmID] = &peerLoad{byServer: byServer, suspects: suspects, heardAt: now}
 	b.expire(now)
 	b.sumPeers()
 }
@@ -132,7 +137,7 @@
 
 func (b *Board) sumPeers() {
 	for _, e := range b.engines {
-		e.others = Load{}
+		e.others, e.suspectedBy = Load{}, 0
 	}
 	for _, peer := range b.peers {
 		for id, load := range peer.byServer {
@@ -141,9 +146,31 @@
 				e.others[Batch] += load[Batch]
 			}
 		}
+		for _, id := range peer.suspects {
+			if e, ok := b.engines[id]; ok {
+				e.suspectedBy++
+			}
+		}
 	}
 }
 
+// Suspects returns the servers that are ejected for what this VM itself has seen.
+func (b *Board) Suspects(now time.Time) []string {
+	var suspects []string
+	for _, id := range b.order {
+		if now.Before(b.engines[id].ejectedUntil) {
+			suspects = append(suspects, id)
+		}
+	}
+	return suspects
+}
+
+// ejected reports whether a server gets no requests for now: it has failed this VM
+// several times, or some VMs between them. One peer alone may be cut off from it.
+func (e *engine) ejected(now time.Time) bool {
+	return now.Before(e.ejectedUntil) || e.suspectedBy >= suspectQuorum || (e.suspectedBy > 0 && e.failures > 0)
+}
+
 // Own returns this VM's requests by server.
 func (b *Board) Own() map[string]Load {
 	own := make(map[string]Load, len(b.engines))
@@ -195,7 +222,7 @@
 			if e.record.Service != ask.Service || e.record.Draining || now.Before(e.fullUntil) {
 				continue
 			}
-			if !lenient && (ask.Avoid[id] || now.Before(e.ejectedUntil)) {
+			if !lenient && (ask.Avoid[id] || e.ejected(now)) {
 				continue
 			}
 			r, ok := b.rank(e, ask)
@@ -217,7 +244,7 @@
 // a place later.
 func (b *Board) anySound(now time.Time, ask Ask) bool {
 	for id, e := range b.engines {
-		if e.record.Service == ask.Service && !e.record.Draining && !ask.Avoid[id] && !now.Before(e.ejectedUntil) {
+		if e.record.Service == ask.Service && !e.record.Draining && !ask.Avoid[id] && !e.ejected(now) {
 			return true
 		}
 	}
--- a/placement/board_test.go
+++ b/placement/board_test.go
@@ -33,8 +33,14 @@
 		d, _ := time.ParseDuration(f[1])
 		s.now = s.now.Add(d)
 		s.board.Expire(s.now)
-	case "peer": // peer VM id=online/batch ...
-		s.board.SetPeer(s.now, f[1], parseLoads(f[2:]))
+	case "peer": // peer VM id=online/batch ... failed=id ...
+		var suspects []string
+		for _, field := range f[2:] {
+			if id, ok := strings.CutPrefix(field, "failed="); ok {
+				suspects = append(suspects, id)
+			}
+		}
+		s.board.SetPeer(s.now, f[1], parseLoads(f[2:]), suspects)
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.board.Start(f[2], class(f[1]))
@@ -49,6 +55,8 @@
 		return s.pick(f[1:])
 	case "spread": // spread CLASS count: how the next requests, all started, divide
 		return s.spread(class(f[1]), count(f[1:]))
+	case "suspects":
+		return strings.Join(s.board.Suspects(s.now), " ")
 	case "yields":
 		return numbers(s.board.Yields())
 	case "expected": // expected AHEAD VMS: the wait
@@ -140,6 +148,9 @@
 	loads := map[string]Load{}
 	for _, field := range fields {
 		id, rest, _ := strings.Cut(field, "=")
+		if id == "failed" {
+			continue
+		}
 		online, batch, _ := strings.Cut(rest, "/")
 		var load Load
 		load[Online], _ = strconv.Atoi(online)
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -12,6 +12,8 @@
 	// one up to ejectMax.
 	ejectFor = time.Second
 	ejectMax = 8 * time.Second
+	// suspectQuorum is the number of peers whose failures eject a server here too.
+	suspectQuorum = 2
 	// fullFor is how long a server that refused a request counts as full.
 	fullFor = 60 * time.Millisecond
 	// initialRunTime is the assumed run time of a request before any has ended.
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -76,12 +76,13 @@
 	d.changed()
 }
 
-// SetPeer takes a peer's load; vms is the number of VMs that share the servers.
-func (d *Desk) SetPeer(vmID string, byServer map[string]placement.Load, vms int) {
+// SetPeer takes a peer's load and the servers that have failed it; vms is the
+// number of VMs that share the servers.
+func (d *Desk) SetPeer(vmID string, byServer map[string]placement.Load, suspects []string, vms int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.vms = vms
-	d.board.SetPeer(d.clock.Now(), vmID, byServer)
+	d.board.SetPeer(d.clock.Now(), vmID, byServer, suspects)
 	d.changed()
 }
 
@@ -100,6 +101,13 @@
 	return d.board.Own()
 }
 
+// Suspects returns the servers that have failed this VM of late.
+func (d *Desk) Suspects() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.board.Suspects(d.clock.Now())
+}
+
 // Serves reports whether a server of the service takes new requests.
 func (d *Desk) Serves(service string) bool {
 	d.mu.Lock()
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -190,6 +190,26 @@
 	}
 }
 
+// TestWholeAnswers: an answer without events is handed on only when it is complete;
+// a broken one of a repeatable request is asked for elsewhere.
+func TestWholeAnswers(t *testing.T) {
+	for _, repeatable := range []bool{true, false} {
+		relay, s := newRelay(newDesk("a", "b"), step{status: 200, body: "half", broken: true}, step{status: 200, body: "whole"})
+		request := stream(repeatable, 2)
+		request.Streams = false
+		var out recorder
+		err := relay.Serve(context.Background(), request, &out)
+		if repeatable {
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, out.body.String(), qt.Equals, "whole")
+			continue
+		}
+		qt.Assert(t, s.attempts, qt.HasLen, 1)
+		qt.Assert(t, out.status, qt.Equals, 0)
+		qt.Assert(t, bergamotgrade.IsKind(err, bergamotgrade.KindOutcomeUnknown), qt.IsTrue)
+	}
+}
+
 // TestCallerLeaves: the attempt of a caller that leaves ends at once and its place
 // is free again.
 func TestCallerLeaves(t *testing.T) {
