Answer a retirement until the store has taken it; manual pages of bergamot-vm

Cause (found by reading): the answer was tried only when the operator's entries changed. TestRetirement with a store that refuses the first tries failed before.

--- a/cmd/manpages/main.go
+++ b/cmd/manpages/main.go
@@ -11,12 +11,13 @@
 
 	"github.com/bergamotgrade/bergamotgrade/ctl"
 	"github.com/bergamotgrade/bergamotgrade/daemon"
+	"github.com/bergamotgrade/bergamotgrade/entry"
 )
 
 func main() {
 	// A fixed date keeps the pages the same until the commands change.
 	date := time.Date(2026, time.December, 1, 0, 0, 0, 0, time.UTC)
-	for _, command := range []*cobra.Command{daemon.NewCommand(), ctl.NewCommand()} {
+	for _, command := range []*cobra.Command{daemon.NewCommand(), ctl.NewCommand(), entry.NewCommand()} {
 		command.DisableAutoGenTag = true
 		header := &doc.GenManHeader{Section: "1", Source: "bergamotgrade", Date: &date}
 		if err := doc.GenManTree(command, header, "man"); err != nil {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -270,14 +270,19 @@
 	}
 }
 
-// TestRetirement: a disk VM that is to be retired says that it keeps nothing.
+// TestRetirement: a disk VM that is to be retired says that it keeps nothing, also
+// when the store refuses its first tries.
 func TestRetirement(t *testing.T) {
 	f := newTestFleet(t)
 	f.addEngine("e1")
 	f.addVM(1, true)
-	f.addVM(3, false)
+	way := standin.NewStoreServer(f.store)
+	f.addVMAt(3, false, f.serve(way))
 	order, answerKey := standin.Retire("vm3")
+	way.SetFaults(standin.StoreFaults{RefuseWrites: true})
 	f.write(order)
+	time.Sleep(time.Second)
+	way.SetFaults(standin.StoreFaults{})
 	f.eventually("retirement is answered", 3*time.Second, func() bool {
 		entry, _ := f.store.Read(context.Background(), answerKey, false)
 		return string(entry.Value) == `{"state":"done"}`
--- a/entry/node.go
+++ b/entry/node.go
@@ -49,6 +49,10 @@
 
 	mu      sync.Mutex
 	servers map[string]bergamotgrade.ServerRecord
+	// retiring is set once the operator wants this VM emptied, retired once the
+	// answer to that is stored.
+	retiring bool
+	retired  bool
 	// unreadable holds registry entries that were reported as such.
 	unreadable map[string]int64
 }
@@ -151,25 +155,43 @@
 		n.view.setConfiguration(entry)
 		n.announce()
 	}
-	n.answerRetirement(entries)
+	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; ok {
+		n.retire()
+	}
 }
 
-// answerRetirement says that this VM is empty when it is to be retired: all jobs
-// are kept in the platform's store, and the ones that it owns go to others.
-func (n *Node) answerRetirement(entries map[string]bergamotgrade.Entry) {
-	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; !ok {
+// retire gives the jobs of this VM to others; upkeep answers the order then.
+func (n *Node) retire() {
+	n.mu.Lock()
+	first := !n.retiring
+	n.retiring = true
+	n.mu.Unlock()
+	if !first {
 		return
 	}
+	n.log.Info("to be retired")
 	n.view.leave()
 	n.runner.Stop()
 	n.announce()
-	ctx, cancel := context.WithTimeout(context.Background(), memberTerm)
-	defer cancel()
+}
+
+// answerRetirement says that this VM is empty: all jobs are kept in the platform's
+// store.
+func (n *Node) answerRetirement(ctx context.Context) {
+	n.mu.Lock()
+	due := n.retiring && !n.retired
+	n.mu.Unlock()
+	if !due {
+		return
+	}
 	write := platform.RetirementDone(n.settings.VMID)
 	if _, err := n.kv.Commit(ctx, bergamotgrade.KeyCommit{Writes: []bergamotgrade.KeyWrite{write}}); err != nil {
 		n.log.Warn("retirement not answered yet", "cause", err.Error())
 		return
 	}
+	n.mu.Lock()
+	n.retired = true
+	n.mu.Unlock()
 	n.log.Info("retirement answered: this VM keeps nothing")
 }
 
@@ -343,6 +365,7 @@
 		case <-ticker.C:
 		}
 		n.desk.Expire()
+		n.answerRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
 			n.engine.Prune(now, n.serverRecords())
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -93,20 +93,8 @@
 		heads, changed := r.ledger.All()
 		r.takeJobs(ctx, heads)
 		r.startItems(ctx)
-		waitForJobs := true
-		for waitForJobs {
-			select {
-			case <-ctx.Done():
-				return
-			case <-changed:
-				waitForJobs = false
-			case <-ticker.C:
-				waitForJobs = false
-			case <-r.desk.Room():
-				r.startItems(ctx)
-			case <-r.wake:
-				r.startItems(ctx)
-			}
+		if !r.await(ctx, changed, ticker.C) {
+			return
 		}
 		if now := r.clock.Now(); now.After(cleanAt) {
 			cleanAt = now.Add(cleanInterval)
@@ -115,6 +103,25 @@
 	}
 }
 
+// await starts items whenever there may be room for them, until jobs have changed
+// or the next look at them is due. It returns false when the context has ended.
+func (r *Runner) await(ctx context.Context, changed <-chan struct{}, tick <-chan time.Time) bool {
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-changed:
+			return true
+		case <-tick:
+			return true
+		case <-r.desk.Room():
+			r.startItems(ctx)
+		case <-r.wake:
+			r.startItems(ctx)
+		}
+	}
+}
+
 // takeJobs starts the jobs that this process owns, claims those that should be
 // its own, and drops those that are no longer.
 func (r *Runner) takeJobs(ctx context.Context, heads map[string]Head) {
