--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -81,7 +81,7 @@
 func (f *testFleet) addVMAt(number int, callers bool, storeAddress string) *testNode {
 	ip := fmt.Sprintf("127.0.77.%d", number)
 	settings := bergamotgrade.NodeSettings{
-		VMID: fmt.Sprintf("vm%d", number), DataCentre: "here", IP: ip, InnerPort: 17360, LastInnerPort: 17375, StoreAddress: storeAddress,
+		VMID: fmt.Sprintf("vm%d", number), DataCentre: "here", IP: ip, InnerPort: 17360, StoreAddress: storeAddress,
 		StopGrace: 8 * time.Second, StoreLeaseMin: time.Second, StoreValueBytes: 1 << 20, JobStatusLife: time.Minute, Seeds: []string{"127.0.77.1"},
 	}
 	if callers {
--- a/entry/node.go
+++ b/entry/node.go
@@ -101,7 +101,7 @@
 }
 
 func (n *Node) registerGauges() {
-	n.metrics.Gauge("config_version", func() int64 { return max(0, n.view.versionInForce()) })
+	n.metrics.Gauge("config_version", func() int64 { return n.view.versionInForce() })
 	n.metrics.Gauge("jobs_owned", func() int64 { jobs, _ := n.runner.Count(); return int64(jobs) })
 	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
@@ -118,7 +118,7 @@
 // account is what this VM tells its peers.
 func (n *Node) account() gossip.Message {
 	message := gossip.Message{
-		VMID: n.settings.VMID, Incarnation: n.incarnation, Version: max(0, n.view.versionInForce()),
+		VMID: n.settings.VMID, Incarnation: n.incarnation, Version: n.view.versionInForce(),
 		Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
 		StoreAway: n.kv.Away(),
 		Admitted:  n.view.admitted(),
--- a/entry/view.go
+++ b/entry/view.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"log/slog"
-	"math"
 	"sync"
 	"time"
 
@@ -35,6 +34,16 @@
 	heardAt time.Time
 }
 
+// isHeard reports whether the VM's last message is not older than the lifetime.
+func (p peer) isHeard(now time.Time, lifetime time.Duration) bool {
+	return now.Sub(p.heardAt) <= lifetime
+}
+
+// reachesStore reports whether the VM stays and has the store.
+func (p peer) reachesStore(now time.Time) bool {
+	return p.isHeard(now, watcherLife) && !p.message.Leaving && !p.message.StoreAway
+}
+
 // view is what this VM knows of the configuration and of the other VMs.
 type view struct {
 	clock       bergamotgrade.Clock
@@ -84,7 +93,7 @@
 	if v.configuration != nil {
 		before = v.configuration.Version
 	}
-	if next.Version <= before {
+	if v.configuration != nil && next.Version <= before {
 		return
 	}
 	v.configuration = next
@@ -178,7 +187,7 @@
 	}
 	callers = 1
 	for _, p := range v.peers {
-		if p.message.Callers && now.Sub(p.heardAt) <= peerLife {
+		if p.message.Callers && p.isHeard(now, peerLife) {
 			callers++
 		}
 	}
@@ -198,7 +207,7 @@
 	var newer, others []string
 	for id, p := range v.peers {
 		m, ok := v.members[id]
-		if !ok || now.Sub(p.heardAt) > peerLife {
+		if !ok || !p.isHeard(now, peerLife) {
 			continue
 		}
 		if p.message.Version > own {
@@ -219,7 +228,7 @@
 	now, best := v.clock.Now(), uint64(0)
 	for id, p := range v.peers {
 		m, registered := v.members[id]
-		if !registered || p.message.StoreAway || p.message.Leaving || now.Sub(p.heardAt) > watcherLife {
+		if !registered || !p.reachesStore(now) {
 			continue
 		}
 		if score := xxhash.Sum64String(v.self + "/" + id); !ok || score > best {
@@ -242,7 +251,7 @@
 	now := v.clock.Now()
 	for id, p := range v.peers {
 		m, registered := v.members[id]
-		if !registered || m.DataCentre != dataCentre || p.message.StoreAway || p.message.Leaving || now.Sub(p.heardAt) > watcherLife {
+		if !registered || m.DataCentre != dataCentre || !p.reachesStore(now) {
 			continue
 		}
 		if lowest == "" || id < lowest {
@@ -297,7 +306,7 @@
 		}
 		now := v.clock.Now()
 		for id, p := range v.peers {
-			if now.Sub(p.heardAt) <= peerLife && !p.message.Leaving {
+			if p.isHeard(now, peerLife) && !p.message.Leaving {
 				consider(id, p.message.Incarnation, p.message.Runner)
 			}
 		}
@@ -324,7 +333,7 @@
 	if heard && p.message.Incarnation > incarnation {
 		return false
 	}
-	if heard && p.message.Incarnation == incarnation && now.Sub(p.heardAt) <= peerLife {
+	if heard && p.message.Incarnation == incarnation && p.isHeard(now, peerLife) {
 		return !p.message.Leaving
 	}
 	if now.Sub(v.startedAt) < firstLook {
@@ -339,7 +348,7 @@
 	if configuration := v.Configuration(); configuration != nil {
 		return configuration.Version
 	}
-	return math.MinInt64
+	return 0
 }
 
 // admitted returns the counts of admitted requests by team.
--- a/fleet.go
+++ b/fleet.go
@@ -187,20 +187,15 @@
 	DataCentre string
 	// IP is the VM's own address.
 	IP string
-	// CallerAddress, ReadyAddress and ControlAddress are host:port; empty where
-	// the VM does not serve them.
-	CallerAddress  string
-	ReadyAddress   string
-	ControlAddress string
-	// InnerPort is the first port for traffic between VMs, LastInnerPort the last.
-	InnerPort     int
-	LastInnerPort int
+	// CallerAddress and ReadyAddress are host:port; empty where the VM does not
+	// serve them.
+	CallerAddress string
+	ReadyAddress  string
+	// InnerPort is the port for traffic between VMs.
+	InnerPort int
 	// Seeds are IPs of VMs that may know more.
 	Seeds        []string
 	StoreAddress string
-	DataFolder   string
-	// IsDisk marks a VM with a data folder that is counted as storage.
-	IsDisk bool
 	// StopGrace is the time from SIGTERM to SIGKILL.
 	StopGrace time.Duration
 	// StoreLeaseMin is the shortest term of a lease.
