--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/exec"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,6 +46,9 @@
 	})
 }
 
+// reportedLogBytes bounds what a failure shows of each process's log.
+const reportedLogBytes = 4096
+
 // testSecret is the inner secret of every fleet under test.
 const testSecret = "integration-test-secret"
 
@@ -60,9 +62,8 @@
 	direct map[string]string
 	jobs   map[string]*job
 	// inner holds the inner addresses of the VMs so far.
-	inner  []string
-	number int64
-	port   int
+	inner     []string
+	addresses *standin.Addresses
 }
 
 type process struct {
@@ -137,15 +138,6 @@
 	}
 }
 
-// fleets counts the fleets of this test run.
-var fleets atomic.Int64
-
-// nextAddress returns a loopback address that belongs to this fleet alone.
-func (f *fleet) nextAddress() string {
-	f.port++
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number%250, 20000+f.port)
-}
-
 // shape is the size of a fleet, read from key=value arguments.
 type shape struct {
 	vms, engines, services, dataCentres int
@@ -238,7 +230,7 @@
 
 func (f *fleet) startVM(number int, s shape, platformAddress string) {
 	name := fmt.Sprintf("vm%d", number)
-	caller, operator, inner := f.nextAddress(), f.nextAddress(), f.nextAddress()
+	caller, operator, inner := f.addresses.Next(), f.addresses.Next(), f.addresses.Next()
 	f.direct[name] = caller
 	f.direct[name+"-inner"] = inner
 	f.ts.Setenv(strings.ToUpper(name), operator)
@@ -268,12 +260,31 @@
 	deadline := time.Now().Add(20 * time.Second)
 	for !try() {
 		if time.Now().After(deadline) {
+			f.report()
 			f.ts.Fatalf("gave up waiting: %s", what)
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 }
 
+// report logs what each VM says of itself and the end of its log.
+func (f *fleet) report() {
+	for name, p := range f.processes {
+		address, ok := f.direct[name+"-operator"]
+		if !ok {
+			continue
+		}
+		status := "no answer"
+		if res, err := http.Get("http://" + address + "/status"); err == nil {
+			body, _ := io.ReadAll(res.Body)
+			_ = res.Body.Close()
+			status = string(body)
+		}
+		log, err := os.ReadFile(p.logPath)
+		f.ts.Logf("%s: status %s, log (%v):\n%s", name, status, err, log[max(0, len(log)-reportedLogBytes):])
+	}
+}
+
 func (f *fleet) waitReachable(vm string) {
 	f.poll(vm+" serves operators", func() bool {
 		res, err := http.Get(f.operatorURL(vm, "/healthz"))
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -27,7 +27,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}, number: fleets.Add(1)}
+			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}, addresses: standin.NewAddresses()}
 			env.Values[fleetKey{}] = f
 			env.Defer(func() { f.close(t) })
 			return nil
--- a/measure/constants.go
+++ b/measure/constants.go
@@ -25,8 +25,6 @@
 	batchTokens = 40
 	// batchItems is the number of items of the saturating batch jobs.
 	batchItems = 6000
-	// firstPort is below the ports of outgoing connections.
-	firstPort = 20000
 	// teamsPerNote bounds the teams of one release note.
 	teamsPerNote = 2000
 	// pollPause is the pause between two looks at a VM.
--- a/measure/fleet.go
+++ b/measure/fleet.go
@@ -11,12 +11,12 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/release"
+	"github.com/bergamotgrade/bergamotgrade/standin"
 )
 
 // Shape is the size of a fleet.
@@ -46,13 +46,12 @@
 	services  []string
 	pids      []int
 	revision  int64
-	number    int64
-	ports     int
+	addresses *standin.Addresses
 }
 
 // Start runs the processes of a fleet and waits until all VMs are ready.
 func Start(ctx context.Context, binaries string, shape Shape) (*Fleet, error) {
-	f := &Fleet{shape: shape, binaries: binaries, number: fleets.Add(1)}
+	f := &Fleet{shape: shape, binaries: binaries, addresses: standin.NewAddresses()}
 	if err := f.start(ctx); err != nil {
 		f.Stop()
 		return nil, err
@@ -136,20 +135,10 @@
 	return strings.TrimSpace(line), err
 }
 
-// fleets counts the fleets of this process.
-var fleets atomic.Int64
-
-// nextAddress returns a loopback address of this fleet alone, with a port that
-// no outgoing connection takes.
-func (f *Fleet) nextAddress() string {
-	f.ports++
-	return fmt.Sprintf("127.%d.%d.1:%d", 1+os.Getpid()%250, f.number%250, firstPort+f.ports)
-}
-
 func (f *Fleet) startVM(index int, platform string) error {
 	var addresses [3]string
 	for i := range addresses {
-		addresses[i] = f.nextAddress()
+		addresses[i] = f.addresses.Next()
 	}
 	args := []string{
 		"serve", "--vm-id", fmt.Sprintf("vm%03d", index), "--data-centre", fmt.Sprintf("dc%d", index%f.shape.DataCentres),
