Teams that waited before are not put behind newcomers

Cause: the desk took the next request out of the fair queue with Remove, which does not move the queue's virtual clock, and an emptied class was cleared by Pop only. A team that had waited often kept its high finish tags for ever, so each newcomer went ahead of it with its whole burst. Found by reading.

Change: the desk uses Pop; a class is cleared whenever its last item leaves.

--- a/queue/fair.go
+++ b/queue/fair.go
@@ -100,17 +100,14 @@
 		c := &q.classes[i]
 		for len(c.items) > 0 {
 			item := heap.Pop(&c.items).(*Item)
-			q.leave(item)
-			if !now.Before(item.Deadline) {
-				expired = append(expired, item)
-				continue
+			if now.Before(item.Deadline) {
+				c.virtual = max(c.virtual, item.finishTag)
+				q.leave(item)
+				return item, expired
 			}
-			c.virtual = max(c.virtual, item.finishTag)
-			return item, expired
+			q.leave(item)
+			expired = append(expired, item)
 		}
-		// An empty class owes nobody anything.
-		clear(c.finished)
-		c.virtual = 0
 	}
 	return nil, expired
 }
@@ -148,6 +145,11 @@
 	if q.perTeam[item.TeamID] == 0 {
 		delete(q.perTeam, item.TeamID)
 	}
+	if c := &q.classes[item.Class]; len(c.items) == 0 {
+		// An empty class owes nobody anything.
+		clear(c.finished)
+		c.virtual = 0
+	}
 }
 
 // itemHeap orders items by finish tag, then by arrival.
--- a/relay/desk.go
+++ b/relay/desk.go
@@ -289,7 +289,7 @@
 			if !ok {
 				break
 			}
-			q.Remove(item)
+			q.Pop(now)
 			delete(d.waiters, item)
 			w.result <- d.start(now, server, placement.Online)
 			started = true
