--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -60,7 +60,7 @@
 // configure writes the next configuration, in which the keys belong to one team.
 func (f *testFleet) configure(keys ...string) {
 	f.version += 3
-	write, err := standin.Configuration(f.version, "svc", keys...)
+	write, err := standin.NewConfiguration(f.version, "svc", keys...).Write()
 	qt.Assert(f.t, err, qt.IsNil)
 	f.write(write)
 }
@@ -158,13 +158,13 @@
 	}
 	f.write(draining.Register("127.0.0.1:1", "draining"))
 	time.Sleep(time.Second)
-	before := len(draining.Starts())
+	before := len(draining.Runs())
 	for i := range 10 {
 		reply, err := vms[i%2].caller("k2").Stream(standin.OncePath, fmt.Sprint("c", i))
 		qt.Assert(t, err, qt.IsNil)
 		qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
 	}
-	qt.Assert(t, len(draining.Starts()), qt.Equals, before)
+	qt.Assert(t, len(draining.Runs()), qt.Equals, before)
 }
 
 // TestStoreAway goes on serving while the store is away, and takes jobs again when
--- /dev/null
+++ b/soak/command.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
+)
+
+// options are the flags of the command line.
+type options struct {
+	binary string
+	first  uint64
+	count  uint64
+	jobs   int
+	length time.Duration
+	folder string
+}
+
+// NewCommand returns the command line of the soak.
+func NewCommand() *cobra.Command {
+	var o options
+	command := &cobra.Command{
+		Use:   "soak",
+		Short: "Run VMs as processes under random faults and check the promises to callers",
+		Long: "Each seed starts 3 VMs of callers and 2 disk VMs before stand-ins of the store and\n" +
+			"of 4 backend servers, injects faults for the length, and then expects the fleet to\n" +
+			"recover and all accepted items to end. Run it in the module's folder. The exit\n" +
+			"status is 1 where a promise was broken; the logs of such a seed stay in the folder.",
+		Args:          cobra.NoArgs,
+		SilenceUsage:  true,
+		SilenceErrors: true,
+		RunE:          func(command *cobra.Command, _ []string) error { return o.run(command.OutOrStdout()) },
+	}
+	flags := command.Flags()
+	flags.StringVar(&o.binary, "binary", "", "the `path` of bergamot-vm; empty builds it")
+	flags.Uint64Var(&o.first, "seed", uint64(time.Now().Unix()), "the first seed; the default is a fresh one")
+	flags.Uint64Var(&o.count, "count", 1, "number of seeds")
+	flags.IntVar(&o.jobs, "jobs", 4, "seeds played at a time")
+	flags.DurationVar(&o.length, "length", 20*time.Second, "time in which faults are injected")
+	flags.StringVar(&o.folder, "folder", "", "`folder` for logs; empty is a temporary one")
+	return command
+}
+
+// Execute runs the command line with the process's arguments.
+func Execute(ctx context.Context) error { return NewCommand().ExecuteContext(ctx) }
+
+func (o *options) run(out io.Writer) error {
+	if o.folder == "" {
+		folder, err := os.MkdirTemp("", "soak")
+		if err != nil {
+			return err
+		}
+		o.folder = folder
+	}
+	if o.binary == "" {
+		o.binary = filepath.Join(o.folder, "bergamot-vm")
+		if text, err := exec.Command("go", "build", "-o", o.binary, "./cmd/bergamot-vm").CombinedOutput(); err != nil {
+			return errors.Wrapf(err, "building bergamot-vm: %s", text)
+		}
+	}
+	reports := make([]Report, o.count)
+	var seeds errgroup.Group
+	seeds.SetLimit(o.jobs)
+	for i := range reports {
+		seeds.Go(func() (err error) {
+			reports[i], err = o.runSeed(o.first + uint64(i))
+			return err
+		})
+	}
+	if err := seeds.Wait(); err != nil {
+		return err
+	}
+	broken := 0
+	for _, r := range reports {
+		fmt.Fprintln(out, r)
+		if len(r.Broken) > 0 {
+			broken++
+		}
+	}
+	if broken > 0 {
+		return errors.Newf("%d of %d seeds broke a promise; logs are in %s", broken, len(reports), o.folder)
+	}
+	return nil
+}
+
+// runSeed runs one seed; its logs are removed unless a promise was broken.
+func (o *options) runSeed(seed uint64) (Report, error) {
+	folder := filepath.Join(o.folder, fmt.Sprint("seed-", seed))
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return Report{}, err
+	}
+	report, err := Run(Options{Binary: o.binary, Seed: seed, Length: o.length, Folder: folder})
+	if err != nil || len(report.Broken) > 0 {
+		return report, errors.Wrapf(err, "seed %d", seed)
+	}
+	return report, os.RemoveAll(folder)
+}
+
+// String returns the report as lines of text.
+func (r Report) String() string {
+	t := r.Totals
+	line := fmt.Sprintf("seed %d: %d faults, %d requests (%d served, %d refused), %d jobs, %d items, %d promises broken",
+		r.Seed, len(r.Faults), t.Requests, t.Served, t.Refused, t.Jobs, t.Items, len(r.Broken))
+	if len(r.Broken) > 0 {
+		line += "\n  broken: " + strings.Join(r.Broken, "\n  broken: ") + "\n  fault: " + strings.Join(r.Faults, "\n  fault: ")
+	}
+	return line
+}
--- a/standin/fault_proxy.go
+++ b/standin/fault_proxy.go
@@ -10,13 +10,13 @@
 
 // FaultProxy forwards TCP connections to a target and injects faults.
 type FaultProxy struct {
-	target  string
 	address string
 	delay   atomic.Int64
 	// swallow makes new connections silent too.
 	swallow atomic.Bool
 
 	mu       sync.Mutex
+	target   string
 	listener net.Listener
 	links    map[*link]struct{}
 }
@@ -80,6 +80,21 @@
 	return nil
 }
 
+// SetTarget has new connections go to another target, and cuts the open ones.
+func (p *FaultProxy) SetTarget(target string) {
+	p.mu.Lock()
+	p.target = target
+	p.mu.Unlock()
+	p.Cut()
+}
+
+// Target returns where new connections go.
+func (p *FaultProxy) Target() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.target
+}
+
 // SetDelay delays each piece of data in both directions.
 func (p *FaultProxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
 
@@ -123,7 +138,7 @@
 // run forwards one connection until it ends.
 func (p *FaultProxy) run(client net.Conn) {
 	defer client.Close()
-	server, err := net.Dial("tcp", p.target)
+	server, err := net.Dial("tcp", p.Target())
 	if err != nil {
 		reset(client)
 		return
