--- a/entry/node.go
+++ b/entry/node.go
@@ -70,7 +70,7 @@
 	n.desk = relay.NewDesk(n.clock, placement.NewBoard(settings.VMID, settings.DataCentre), n.announce)
 	inner := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
 	var err error
-	if n.gossip, err = gossip.New(inner, n.account, n.hear, n.metrics.Map("gossip"), log); err != nil {
+	if n.gossip, err = gossip.New(settings.VMID, gossip.Peer{Address: inner, DataCentre: settings.DataCentre}, n.account, n.hear, n.metrics.Map("gossip"), log); err != nil {
 		return nil, err
 	}
 	n.peers = vm.NewPeers("", n.metrics.Map("inner"))
@@ -234,7 +234,7 @@
 
 func (n *Node) setMembers(entries map[string]bergamotgrade.Entry) {
 	n.view.setMembers(entries)
-	n.gossip.SetPeers(n.view.peerAddresses())
+	n.gossip.SetPeers(n.view.gossipPeers())
 	n.announce()
 	n.runner.Wake()
 }
--- a/entry/view.go
+++ b/entry/view.go
@@ -176,6 +176,19 @@
 	return addresses
 }
 
+// gossipPeers returns where the other registered VMs hear this one.
+func (v *view) gossipPeers() map[string]gossip.Peer {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	peers := make(map[string]gossip.Peer, len(v.members))
+	for id, m := range v.members {
+		if id != v.self {
+			peers[id] = gossip.Peer{Address: m.InnerAddress, DataCentre: m.DataCentre}
+		}
+	}
+	return peers
+}
+
 // hear takes a peer's message and returns the number of VMs that take callers.
 func (v *view) hear(message gossip.Message) (callers int) {
 	v.mu.Lock()
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -53,9 +53,9 @@
 	return buffer.Bytes(), err
 }
 
-// Decode reads one datagram.
-func Decode(data []byte) (Message, error) {
-	var message Message
-	err := msgpack.Unmarshal(data, &message)
-	return message, err
+// Decode reads the first message of the data and returns its size.
+func Decode(data []byte) (message Message, size int, err error) {
+	reader := bytes.NewReader(data)
+	err = msgpack.NewDecoder(reader).Decode(&message)
+	return message, len(data) - reader.Len(), err
 }
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -16,13 +16,14 @@
 	data, err := Encode(message)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(data) < 100, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
-	decoded, err := Decode(data)
+	decoded, size, err := Decode(append(data, data...))
 	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, size, qt.Equals, len(data))
 	qt.Assert(t, decoded, qt.DeepEquals, message)
 }
 
 func FuzzDecode(f *testing.F) {
 	data, _ := Encode(Message{VMID: "vm", Load: []ServerLoad{{ServerID: "i"}}})
 	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Decode(data) })
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _, _ = Decode(data) })
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -5,8 +5,11 @@
 	"expvar"
 	"log/slog"
 	"net"
+	"slices"
 	"sync"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -16,19 +19,48 @@
 	coalesce = 3 * time.Millisecond
 	// maxDatagram bounds a received message.
 	maxDatagram = 64 << 10
+	// partnersPerDataCentre is the number of VMs of another data centre that hear
+	// a VM directly; two of them may be lost with one disk of each.
+	partnersPerDataCentre = 4
+	// nearPerSecond and farPerSecond bound the datagrams that one VM sends within
+	// its data centre and to others. Engines are shared within a data centre
+	// first, so news has to be fresh there; traffic between them costs more.
+	nearPerSecond = 600
+	farPerSecond  = 120
+	// burst is the number of datagrams that may go out at one instant: a round to
+	// the largest data centre.
+	burst = 128
 )
 
-// Node sends this VM's account to its peers and receives theirs.
+// Peer is where another VM is reached.
+type Peer struct {
+	// Address is host:port.
+	Address    string
+	DataCentre string
+}
+
+// peer is a Peer with its address resolved.
+type peer struct {
+	id         string
+	address    *net.UDPAddr
+	dataCentre string
+}
+
+// Node sends this VM's account to its peers and receives theirs. All VMs of its
+// data centre hear it, and some of each other one, which pass it on there.
 type Node struct {
-	conn    *net.UDPConn
-	account func() Message
-	receive func(Message)
-	metrics *expvar.Map
-	log     *slog.Logger
-	changed chan struct{}
+	conn       *net.UDPConn
+	dataCentre string
+	vmID       string
+	account    func() Message
+	receive    func(Message)
+	metrics    *expvar.Map
+	log        *slog.Logger
+	near, far  *lane
+	forwarder  *forwarder
 
 	mu       sync.Mutex
-	peers    map[string]*net.UDPAddr
+	peers    map[string]peer
 	sequence uint64
 	// newest holds the sequence of the last message of each peer, by which
 	// messages that were overtaken are dropped.
@@ -40,10 +72,15 @@
 	sequence    uint64
 }
 
-// New returns a node that listens at the address (host:port). account returns
-// this VM's account, receive takes those of peers.
-func New(address string, account func() Message, receive func(Message), metrics *expvar.Map, log *slog.Logger) (*Node, error) {
-	local, err := net.ResolveUDPAddr("udp4", address)
+// before reports whether the position is older than the other.
+func (p position) before(other position) bool {
+	return p.incarnation < other.incarnation || (p.incarnation == other.incarnation && p.sequence < other.sequence)
+}
+
+// New returns a node of the VM that listens at its address. account returns this
+// VM's account, receive takes those of peers.
+func New(vmID string, self Peer, account func() Message, receive func(Message), metrics *expvar.Map, log *slog.Logger) (*Node, error) {
+	local, err := net.ResolveUDPAddr("udp4", self.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -51,77 +88,95 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Node{
-		conn: conn, account: account, receive: receive, metrics: metrics, log: log,
-		changed: make(chan struct{}, 1), peers: map[string]*net.UDPAddr{}, newest: map[string]position{},
-	}, nil
+	n := &Node{
+		conn: conn, vmID: vmID, dataCentre: self.DataCentre, account: account, receive: receive, metrics: metrics, log: log,
+		peers: map[string]peer{}, newest: map[string]position{},
+	}
+	n.near, n.far = newLane(n, nearPerSecond), newLane(n, farPerSecond)
+	n.forwarder = newForwarder(n)
+	return n, nil
 }
 
-// SetPeers replaces the peers: addresses (host:port) by VM.
-func (n *Node) SetPeers(addresses map[string]string) {
-	peers := make(map[string]*net.UDPAddr, len(addresses))
-	for id, address := range addresses {
-		parsed, err := net.ResolveUDPAddr("udp4", address)
+// SetPeers replaces the peers by VM.
+func (n *Node) SetPeers(addresses map[string]Peer) {
+	peers := make(map[string]peer, len(addresses))
+	for id, p := range addresses {
+		parsed, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
-			n.log.Warn("peer has no usable address", "vm", id, "address", address, "cause", err.Error())
+			n.log.Warn("peer has no usable address", "vm", id, "address", p.Address, "cause", err.Error())
 			continue
 		}
-		peers[id] = parsed
+		peers[id] = peer{id: id, address: parsed, dataCentre: p.DataCentre}
 	}
+	near, far := targets(n.vmID, n.dataCentre, peers)
 	n.mu.Lock()
-	defer n.mu.Unlock()
 	n.peers = peers
+	n.mu.Unlock()
+	n.near.setTargets(near)
+	n.far.setTargets(far)
+	n.forwarder.setPeers(near)
 }
 
+// targets returns the peers of the VM's data centre, and its partners in the
+// others: those with the highest rendezvous scores.
+func targets(vmID, dataCentre string, peers map[string]peer) (near, far []peer) {
+	others := map[string][]peer{}
+	for _, p := range peers {
+		if p.dataCentre == dataCentre {
+			near = append(near, p)
+		} else {
+			others[p.dataCentre] = append(others[p.dataCentre], p)
+		}
+	}
+	for _, there := range others {
+		slices.SortFunc(there, func(a, b peer) int {
+			if partnerScore(vmID, a.id) > partnerScore(vmID, b.id) {
+				return -1
+			}
+			return 1
+		})
+		far = append(far, there[:min(partnersPerDataCentre, len(there))]...)
+	}
+	return near, far
+}
+
+func partnerScore(vmID, partnerID string) uint64 { return xxhash.Sum64String(vmID + ">" + partnerID) }
+
 // Changed has this VM's account sent soon. It never blocks.
 func (n *Node) Changed() {
-	select {
-	case n.changed <- struct{}{}:
-	default:
-	}
+	n.near.changed()
+	n.far.changed()
 }
 
 // RunSender sends accounts until the context ends.
 func (n *Node) RunSender(ctx context.Context) {
-	heartbeat := time.NewTimer(heartbeatInterval)
-	defer heartbeat.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-heartbeat.C:
-		case <-n.changed:
-			time.Sleep(coalesce)
-			select {
-			case <-n.changed:
-			default:
-			}
-		}
-		n.send()
-		heartbeat.Reset(heartbeatInterval)
-	}
+	var lanes sync.WaitGroup
+	lanes.Go(func() { n.near.run(ctx) })
+	lanes.Go(func() { n.far.run(ctx) })
+	lanes.Go(func() { n.forwarder.run(ctx) })
+	lanes.Wait()
 }
 
-func (n *Node) send() {
+// encoded returns this VM's account as it is now.
+func (n *Node) encoded() ([]byte, error) {
 	message := n.account()
 	n.mu.Lock()
 	n.sequence++
 	message.Sequence = n.sequence
-	peers := n.peers
 	n.mu.Unlock()
-	data, err := Encode(message)
-	if err != nil {
-		n.log.Error("account cannot be encoded", "cause", err.Error())
-		return
-	}
-	for _, address := range peers {
+	return Encode(message)
+}
+
+// send sends the datagram to the peers.
+func (n *Node) send(data []byte, to []peer) {
+	for _, p := range to {
 		// A peer that cannot be reached shows by its own silence.
-		if _, err := n.conn.WriteToUDP(data, address); err != nil {
+		if _, err := n.conn.WriteToUDP(data, p.address); err != nil {
 			n.metrics.Add("send_failed", 1)
 		}
 	}
-	n.metrics.Add("sent", int64(len(peers)))
-	n.metrics.Add("sent_bytes", int64(len(peers)*len(data)))
+	n.metrics.Add("sent", int64(len(to)))
+	n.metrics.Add("sent_bytes", int64(len(to)*len(data)))
 }
 
 // RunReceiver takes the accounts of peers until the context ends.
@@ -130,7 +185,7 @@
 	defer stop()
 	buffer := make([]byte, maxDatagram)
 	for {
-		size, _, err := n.conn.ReadFromUDP(buffer)
+		size, from, err := n.conn.ReadFromUDP(buffer)
 		if err != nil {
 			if ctx.Err() != nil {
 				return
@@ -140,25 +195,38 @@
 			time.Sleep(coalesce)
 			continue
 		}
-		message, err := Decode(buffer[:size])
+		n.take(buffer[:size], from)
+	}
+}
+
+// take takes one datagram: an account, or several that a neighbour passes on.
+func (n *Node) take(data []byte, from *net.UDPAddr) {
+	for len(data) > 0 {
+		message, size, err := Decode(data)
 		if err != nil || message.VMID == "" {
 			n.metrics.Add("undecodable", 1)
+			return
+		}
+		raw := data[:size]
+		data = data[size:]
+		if message.VMID == n.vmID {
 			continue
 		}
-		if n.isNews(message) {
+		at := position{message.Incarnation, message.Sequence}
+		n.mu.Lock()
+		sender, known := n.peers[message.VMID]
+		isNews := n.newest[message.VMID].before(at)
+		if isNews {
+			n.newest[message.VMID] = at
+		}
+		n.mu.Unlock()
+		if direct := !known || sender.address.IP.Equal(from.IP) && sender.address.Port == from.Port; !direct {
+			n.forwarder.heard(message.VMID, at)
+		} else if isNews && known && sender.dataCentre != n.dataCentre {
+			n.forwarder.add(message.VMID, at, raw)
+		}
+		if isNews {
 			n.receive(message)
 		}
 	}
 }
-
-// isNews reports whether the message is newer than all before it.
-func (n *Node) isNews(message Message) bool {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	last := n.newest[message.VMID]
-	if message.Incarnation < last.incarnation || (message.Incarnation == last.incarnation && message.Sequence <= last.sequence) {
-		return false
-	}
-	n.newest[message.VMID] = position{message.Incarnation, message.Sequence}
-	return true
-}
--- a/placement/board.go
+++ b/placement/board.go
@@ -112,44 +112,46 @@
 // SetPeer takes a peer's account of its requests by server and of the servers that
 // have failed it of late.
 func (b *Board) SetPeer(now time.Time, vmID string, byServer map[string]Load, suspects []string) {
-	b.peers[vmID] = &peerLoad{byServer: byServer, suspects: suspects, heardAt: now}
-	b.expire(now)
-	b.sumPeers()
+	if before, ok := b.peers[vmID]; ok {
+		b.count(before, -1)
+	}
+	heard := &peerLoad{byServer: byServer, suspects: suspects, heardAt: now}
+	b.peers[vmID] = heard
+	b.count(heard, 1)
+	b.Expire(now)
 }
 
 // Expire drops the accounts of peers that have not been heard of late.
 func (b *Board) Expire(now time.Time) {
-	if b.expire(now) {
-		b.sumPeers()
-	}
-}
-
-func (b *Board) expire(now time.Time) bool {
-	dropped := false
 	for id, peer := range b.peers {
 		if now.Sub(peer.heardAt) > peerLife {
+			b.count(peer, -1)
 			delete(b.peers, id)
-			dropped = true
 		}
 	}
-	return dropped
 }
 
+// sumPeers counts all peers' accounts anew.
 func (b *Board) sumPeers() {
 	for _, e := range b.engines {
 		e.others, e.suspectedBy = Load{}, 0
 	}
 	for _, peer := range b.peers {
-		for id, load := range peer.byServer {
-			if e, ok := b.engines[id]; ok {
-				e.others[Online] += load[Online]
-				e.others[Batch] += load[Batch]
-			}
+		b.count(peer, 1)
+	}
+}
+
+// count adds a peer's account to those of all peers, or takes it out.
+func (b *Board) count(peer *peerLoad, sign int) {
+	for id, load := range peer.byServer {
+		if e, ok := b.engines[id]; ok {
+			e.others[Online] += sign * load[Online]
+			e.others[Batch] += sign * load[Batch]
 		}
-		for _, id := range peer.suspects {
-			if e, ok := b.engines[id]; ok {
-				e.suspectedBy++
-			}
+	}
+	for _, id := range peer.suspects {
+		if e, ok := b.engines[id]; ok {
+			e.suspectedBy += sign
 		}
 	}
 }
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -37,7 +37,7 @@
 	service string
 	// address is the engine's own, proxy the way that the registry names.
 	address string
-	proxy     *faults.FaultProxy
+	proxy   *faults.FaultProxy
 }
 
 // fleet is the system under test and what surrounds it.
