--- a/soak/command.go
+++ b/soak/command.go
@@ -31,8 +31,8 @@
 	command := &cobra.Command{
 		Use:   "soak",
 		Short: "Run VMs as processes under random faults and check the promises to callers",
-		Long: "Each seed starts 3 VMs of callers and 2 disk VMs before stand-ins of the store and\n" +
-			"of 4 backend servers, injects faults for the length, and then expects the fleet to\n" +
+		Long: "Each seed starts a few VMs of callers and disk VMs before stand-ins of the store and\n" +
+			"of backend servers, injects faults for the length, and then expects the fleet to\n" +
 			"recover and all accepted items to end. Run it in the module's folder. The exit\n" +
 			"status is 1 where a promise was broken; the logs of such a seed stay in the folder.",
 		Args:          cobra.NoArgs,
@@ -108,8 +108,8 @@
 // String returns the report as lines of text.
 func (r Report) String() string {
 	t := r.Totals
-	line := fmt.Sprintf("seed %d: %d faults, %d requests (%d served, %d refused), %d jobs, %d items, %d promises broken",
-		r.Seed, len(r.Faults), t.Requests, t.Served, t.Refused, t.Jobs, t.Items, len(r.Broken))
+	line := fmt.Sprintf("seed %d (%s): %d faults, %d requests (%d served, %d refused), %d jobs, %d items, %d promises broken",
+		r.Seed, r.Shape, len(r.Faults), t.Requests, t.Served, t.Refused, t.Jobs, t.Items, len(r.Broken))
 	if len(r.Broken) > 0 {
 		line += "\n  broken: " + strings.Join(r.Broken, "\n  broken: ") + "\n  fault: " + strings.Join(r.Faults, "\n  fault: ")
 	}
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -3,12 +3,15 @@
 import "time"
 
 const (
-	// entryVMs, diskVMs and engineCount are the size of the fleet under test: the
-	// smallest in which every role outlives the loss of one.
-	entryVMs    = 3
-	diskVMs     = 2
-	engineCount = 4
-	// engineSlots and eventTime let the engines serve about three times the load.
+	// The bounds of a fleet's shape; the engines are half of each service, and
+	// the smallest fleet has one disk VM and a data centre without engines.
+	minEntryVMs, maxEntryVMs       = 2, 4
+	minDiskVMs, maxDiskVMs         = 1, 3
+	minEngines, maxEngines         = 4, 8
+	minDataCentres, maxDataCentres = 1, 3
+	// maxVMs bounds the VMs of a fleet, each of which has an address of its own.
+	maxVMs = 8
+	// engineSlots and eventTime let the engines serve the load, with few of them out of use.
 	engineSlots = 4
 	eventTime   = 10 * time.Millisecond
 	// callersPerVM send one request after the other over connections that they
@@ -59,6 +62,8 @@
 	stopGrace = 8 * time.Second
 	// drainBound is the time after which a draining server gets nothing new.
 	drainBound = 3 * time.Second
+	// retireBound is the time in which a disk VM says that it keeps nothing.
+	retireBound = 2 * time.Second
 	// rateWindow, rateSlack and rateOvershoot bound a team's requests: in any
 	// window no more than (rate × window + burst) × (1 + overshoot) + slack.
 	rateWindow    = 5 * time.Second
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -42,6 +42,7 @@
 
 // fleet is the system under test and what surrounds it.
 type fleet struct {
+	shape   shape
 	folder  string
 	ledger  *ledger
 	store   *standin.Store
@@ -63,17 +64,17 @@
 
 // newFleet starts a fleet and waits until its VMs are ready. Its files go to the
 // folder.
-func newFleet(binary, folder string, ledger *ledger) (*fleet, error) {
-	f := &fleet{folder: folder, ledger: ledger, store: standin.NewStore(bergamotgrade.SystemClock{})}
+func newFleet(binary, folder string, size shape, ledger *ledger) (*fleet, error) {
+	f := &fleet{shape: size, folder: folder, ledger: ledger, store: standin.NewStore(bergamotgrade.SystemClock{})}
 	f.server = standin.NewStoreServer(f.store)
 	storeAddress, err := f.serve(f.server)
 	if err != nil {
 		return f, err
 	}
-	for i := range engineCount {
+	for i := range size.engines {
 		service := []string{serviceOne, serviceTwo}[i%2]
 		made := standin.NewEngine(standin.EngineConfig{
-			ServerID: fmt.Sprint("engine", i), Service: service, DataCentre: dataCentre(i), Slots: engineSlots, EventTime: eventTime,
+			ServerID: fmt.Sprint("engine", i), Service: service, DataCentre: size.engineDataCentre(i), Slots: engineSlots, EventTime: eventTime,
 		})
 		address, err := f.serve(made)
 		if err != nil {
@@ -88,21 +89,21 @@
 	}
 	f.configure()
 	pid, number := os.Getpid(), int(fleets.Add(1))
-	for i := range entryVMs + diskVMs {
+	for i := range size.vms() {
 		way, err := f.proxy(storeAddress)
 		if err != nil {
 			return f, err
 		}
 		f.storeWays = append(f.storeWays, way)
 		vm := &process{binary: binary, folder: folder, onEnd: ledger.processEnded, settings: standin.Settings{
-			VMID: fmt.Sprint("vm", i), DataCentre: dataCentre(i), Callers: i < entryVMs, StoreAddress: way.Address(),
-			IP: fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, 1+number%31*8+i),
+			VMID: fmt.Sprint("vm", i), DataCentre: size.dataCentre(i), Callers: i < size.entryVMs, StoreAddress: way.Address(),
+			IP: fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, 1+number%31*maxVMs+i),
 		}}
 		f.vms = append(f.vms, vm)
 		if err := vm.start(); err != nil {
 			return f, err
 		}
-		if i < entryVMs {
+		if i < size.entryVMs {
 			way, err := f.proxy(vm.settings.CallerAddress())
 			if err != nil {
 				return f, err
@@ -113,8 +114,6 @@
 	return f, f.awaitReady(startTime)
 }
 
-func dataCentre(i int) string { return []string{"a", "b"}[i%2] }
-
 // serve serves a stand-in on a free loopback address.
 func (f *fleet) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -164,8 +163,11 @@
 	f.version += 3
 	c := standin.NewConfiguration(f.version, serviceOne, mainKey)
 	for i, route := range c.Routes {
-		if route.Name == "resume" {
+		switch route.Path {
+		case standin.ResumePath:
 			c.Routes[i].Services = map[string]int{serviceTwo: 1}
+		case standin.SafePath:
+			c.Routes[i].Services = map[string]int{serviceOne: 3, serviceTwo: 1}
 		}
 	}
 	c.Teams = append(c.Teams, standin.Team{Name: limitedTeam, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst})
@@ -181,7 +183,7 @@
 func (f *fleet) awaitReady(within time.Duration) error {
 	deadline := time.Now().Add(within)
 	client := &http.Client{Timeout: time.Second}
-	for _, vm := range f.vms[:entryVMs] {
+	for _, vm := range f.vms[:f.shape.entryVMs] {
 		for !isReady(client, vm.settings.ReadyURL()) {
 			if time.Now().After(deadline) {
 				return errors.Newf("%s is not ready after %s; see its log in %s", vm.settings.VMID, within, f.folder)
@@ -225,10 +227,18 @@
 	return standin.Caller{Address: f.callerWays[vm].Address(), Key: key, Client: client}
 }
 
-// serviceOf returns the service of a path's route.
-func serviceOf(path string) string {
-	if strings.HasPrefix(path, standin.ResumePath) {
-		return serviceTwo
+// mayRun reports whether the configuration lets the service run a path.
+func mayRun(path, service string) bool {
+	switch {
+	case strings.HasPrefix(path, standin.ResumePath):
+		return service == serviceTwo
+	case strings.HasPrefix(path, standin.SafePath):
+		return true
 	}
-	return serviceOne
+	return service == serviceOne
+}
+
+// onceOnly reports whether a request of the path may run once at most.
+func onceOnly(path string) bool {
+	return strings.HasPrefix(path, standin.OncePath) || strings.HasPrefix(path, standin.UnsafePath)
 }
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"context"
+	"fmt"
 	"sync"
 	"syscall"
 	"time"
@@ -96,7 +98,7 @@
 func (i *injector) beginVM(f fault) (end func()) {
 	vm, store := i.fleet.vms[f.target], i.fleet.storeWays[f.target]
 	callers := store
-	if f.target < entryVMs {
+	if f.target < i.fleet.shape.entryVMs {
 		callers = i.fleet.callerWays[f.target]
 	}
 	switch f.kind {
@@ -111,6 +113,8 @@
 			i.fleet.ledger.broken("STOP", vm.settings.VMID+" still ran at the end of the grace period")
 		}
 		return func() { i.restart(vm) }
+	case faultRetire:
+		return i.retire(f, vm)
 	case faultReload:
 		vm.signal(syscall.SIGHUP)
 	case faultCallersReset:
@@ -129,6 +133,21 @@
 	return func() {}
 }
 
+// retire has a disk VM emptied, which in calm it has to say within the bound.
+func (i *injector) retire(f fault, vm *process) (end func()) {
+	order, answerKey := standin.Retire(vm.settings.VMID)
+	i.fleet.write(bergamotgrade.KeyCommit{Writes: []bergamotgrade.KeyWrite{order}})
+	return func() {
+		entry, err := i.fleet.store.Read(context.Background(), answerKey, false)
+		if f.lasts > retireBound && calmAround(i.plan, f, stableTime) && entry.Revision == 0 {
+			i.fleet.ledger.broken("RETIRE", fmt.Sprintf("%s has not said that it is empty (%v)", vm.settings.VMID, err))
+		}
+		vm.end(syscall.SIGTERM, stopGrace)
+		i.fleet.write(bergamotgrade.KeyCommit{Deletes: []string{order.Key, answerKey}})
+		i.restart(vm)
+	}
+}
+
 // silence drops data on the way, in both directions or only of answers; new
 // connections are as silent where both are.
 func silence(way *faults.FaultProxy, both bool) (end func()) {
@@ -184,7 +203,7 @@
 			i.fleet.register(f.target, "ready")
 		}
 	case faultEngineMoved:
-		return i.move(f.target, (f.target+1)%engineCount)
+		return i.move(f.target, (f.target+1)%i.fleet.shape.engines)
 	}
 	return func() {}
 }
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -211,9 +211,9 @@
 	}
 	for id, o := range l.requests {
 		switch {
-		case strings.HasPrefix(o.path, standin.OncePath) && counts[id] > 1:
+		case onceOnly(o.path) && counts[id] > 1:
 			l.note("TWICE", fmt.Sprintf("request %s ran %d times", id, counts[id]))
-		case strings.HasPrefix(o.path, standin.OncePath) && o.refusedUnrun() && counts[id] > 0:
+		case onceOnly(o.path) && o.refusedUnrun() && counts[id] > 0:
 			l.note("REFUSED", fmt.Sprintf("request %s was answered %d and ran", id, o.reply.Status))
 		}
 	}
@@ -228,7 +228,7 @@
 		l.note("UNASKED", fmt.Sprintf("request %s was never sent", run.RequestID))
 	case item != nil && item.refused && !item.accepted:
 		l.note("REFUSED", fmt.Sprintf("item %s ran although its job was refused", run.RequestID))
-	case known && serviceOf(o.path) != e.service, item != nil && e.service != serviceOne:
+	case known && !mayRun(o.path, e.service), item != nil && e.service != serviceOne:
 		l.note("ROUTE", fmt.Sprintf("request %s ran at service %s", run.RequestID, e.service))
 	}
 }
--- a/soak/load.go
+++ b/soak/load.go
@@ -35,7 +35,7 @@
 // run sends requests and jobs until the context ends, and returns when all have
 // their answers.
 func (l *load) run(ctx context.Context) {
-	for vm := range entryVMs {
+	for vm := range l.fleet.shape.entryVMs {
 		for n := range callersPerVM {
 			l.callers.Go(func() { l.runCaller(ctx, vm, n) })
 		}
@@ -48,7 +48,7 @@
 
 // runCaller is one caller. One in three sends for the limited team.
 func (l *load) runCaller(ctx context.Context, vm, n int) {
-	key, path := mainKey, []string{standin.OncePath, standin.ResumePath}[n%2]
+	key, path := mainKey, []string{standin.OncePath, standin.ResumePath, standin.UnsafePath, standin.SafePath}[n%4]
 	if n%3 == 2 {
 		key = limitedKey
 	}
@@ -82,7 +82,7 @@
 
 func (l *load) runSubmission(id string, items []string) {
 	for try := range jobTries {
-		reply, err := l.fleet.caller(try%entryVMs, mainKey, l.client).Submit(id, items...)
+		reply, err := l.fleet.caller(try%l.fleet.shape.entryVMs, mainKey, l.client).Submit(id, items...)
 		l.ledger.submitted(id, reply, err)
 		if err == nil && reply.Status == http.StatusAccepted {
 			return
@@ -95,7 +95,7 @@
 func (l *load) runReader(ctx context.Context) {
 	for bergamotgrade.Sleep(ctx, lookPause) {
 		if ids := l.ledger.acceptedJobs(false); len(ids) > 0 {
-			l.look(rand.IntN(entryVMs), ids[rand.IntN(len(ids))])
+			l.look(rand.IntN(l.fleet.shape.entryVMs), ids[rand.IntN(len(ids))])
 		}
 	}
 }
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -17,6 +17,7 @@
 	faultPause        faultKind = "vm_pause"         // SIGSTOP, and SIGCONT at the end
 	faultStop         faultKind = "vm_stop"          // SIGTERM, and a new start at the end
 	faultReload       faultKind = "vm_reload"        // SIGHUP
+	faultRetire       faultKind = "vm_retire"        // a disk VM is emptied, stopped, and starts anew at the end
 	faultCallersReset faultKind = "callers_reset"    // connections of callers are reset
 	faultCallersSlow  faultKind = "callers_slow"     // data to and from callers is late
 	faultStoreCut     faultKind = "store_cut"        // one VM does not reach the store
@@ -42,7 +43,7 @@
 
 // vmFaults, engineFaults and fleetFaults list the kinds by their targets.
 var (
-	vmFaults     = []faultKind{faultKill, faultPause, faultStop, faultReload, faultCallersReset, faultCallersSlow, faultStoreCut, faultStoreSilent, faultStoreOneWay}
+	vmFaults     = []faultKind{faultKill, faultPause, faultStop, faultReload, faultRetire, faultCallersReset, faultCallersSlow, faultStoreCut, faultStoreSilent, faultStoreOneWay}
 	engineFaults = []faultKind{faultEngineCrash, faultEngineSilent, faultEngineOneWay, faultEngineBreak, faultEngineFail, faultEngineSlow, faultEngineDrain, faultEngineMoved}
 	fleetFaults  = []faultKind{faultStoreDown, faultStoreReads, faultStoreLost, faultStoreSlow, faultStoreCompact, faultStoreMute, faultStorm}
 )
@@ -60,9 +61,36 @@
 	return fmt.Sprintf("%s %d at %.1f s for %.1f s", f.kind, f.target, f.at.Seconds(), f.lasts.Seconds())
 }
 
+// shape is the size of a fleet.
+type shape struct {
+	entryVMs, diskVMs, engines, dataCentres int
+}
+
+// vms returns the number of VMs of both roles.
+func (s shape) vms() int { return s.entryVMs + s.diskVMs }
+
+// newShape returns the shape of a seed's fleet.
+func newShape(seed uint64) shape {
+	random := rand.New(rand.NewPCG(seed, 1))
+	between := func(least, most int) int { return least + random.IntN(most-least+1) }
+	return shape{
+		entryVMs: between(minEntryVMs, maxEntryVMs), diskVMs: between(minDiskVMs, maxDiskVMs),
+		engines: between(minEngines, maxEngines), dataCentres: between(minDataCentres, maxDataCentres),
+	}
+}
+
+// dataCentre returns where the nth VM is.
+func (s shape) dataCentre(n int) string { return fmt.Sprint("dc", n%s.dataCentres) }
+
+// engineDataCentre returns where the nth engine is. The last data centre of
+// several has none.
+func (s shape) engineDataCentre(n int) string {
+	return fmt.Sprint("dc", n/2%max(1, s.dataCentres-1))
+}
+
 // newPlan returns the faults of a seed in the order of their times. Faults of
 // different targets overlap; those of one target come in series.
-func newPlan(seed uint64, length time.Duration) []fault {
+func newPlan(seed uint64, size shape, length time.Duration) []fault {
 	random := rand.New(rand.NewPCG(seed, 0))
 	var plan []fault
 	for range minFaults + random.IntN(maxFaults-minFaults+1) {
@@ -70,12 +98,15 @@
 		f.at = time.Duration(random.Int64N(int64(length - f.lasts)))
 		switch random.IntN(3) {
 		case 0:
-			f.kind, f.target = vmFaults[random.IntN(len(vmFaults))], random.IntN(entryVMs+diskVMs)
+			f.kind, f.target = vmFaults[random.IntN(len(vmFaults))], random.IntN(size.vms())
 		case 1:
-			f.kind, f.target = engineFaults[random.IntN(len(engineFaults))], random.IntN(engineCount)
+			f.kind, f.target = engineFaults[random.IntN(len(engineFaults))], random.IntN(size.engines)
 		default:
 			f.kind = fleetFaults[random.IntN(len(fleetFaults))]
 		}
+		if f.kind == faultRetire {
+			f.target = size.entryVMs + f.target%size.diskVMs
+		}
 		if !slices.ContainsFunc(plan, f.clashes) {
 			plan = append(plan, f)
 		}
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -13,8 +13,10 @@
 func TestPlan(t *testing.T) {
 	seen := map[faultKind]bool{}
 	for seed := range uint64(200) {
-		plan := newPlan(seed, 20*time.Second)
-		qt.Assert(t, fmt.Sprint(newPlan(seed, 20*time.Second)), qt.Equals, fmt.Sprint(plan))
+		size := newShape(seed)
+		qt.Assert(t, size.vms() <= maxVMs, qt.IsTrue)
+		plan := newPlan(seed, size, 20*time.Second)
+		qt.Assert(t, fmt.Sprint(newPlan(seed, size, 20*time.Second)), qt.Equals, fmt.Sprint(plan))
 		for i, f := range plan {
 			seen[f.kind] = true
 			qt.Assert(t, i == 0 || plan[i-1].at <= f.at, qt.IsTrue)
--- a/soak/run.go
+++ b/soak/run.go
@@ -25,6 +25,7 @@
 // Report is the outcome of one run.
 type Report struct {
 	Seed   uint64
+	Shape  string
 	Faults []string
 	Totals Totals
 	// Broken lists the promises that were not kept.
@@ -34,8 +35,9 @@
 // Run plays one seed: load and faults, then a calm in which everything has to
 // recover and all accepted items to end. The error is that of the run itself.
 func Run(options Options) (Report, error) {
-	plan := newPlan(options.Seed, options.Length)
-	report := Report{Seed: options.Seed}
+	size := newShape(options.Seed)
+	plan := newPlan(options.Seed, size, options.Length)
+	report := Report{Seed: options.Seed, Shape: fmt.Sprintf("%d+%d VMs, %d engines, %d data centres", size.entryVMs, size.diskVMs, size.engines, size.dataCentres)}
 	for _, f := range plan {
 		report.Faults = append(report.Faults, f.String())
 	}
@@ -45,7 +47,7 @@
 	}
 	defer out.Close()
 	l := newLedger(slog.New(slog.NewJSONHandler(out, nil)))
-	f, err := newFleet(options.Binary, options.Folder, l)
+	f, err := newFleet(options.Binary, options.Folder, size, l)
 	defer f.stop()
 	if err != nil {
 		return report, err
@@ -71,7 +73,7 @@
 // served then.
 func (l *load) recover() {
 	deadline := time.Now().Add(recoverTime)
-	for vm := range entryVMs {
+	for vm := range l.fleet.shape.entryVMs {
 		caller := l.fleet.caller(vm, mainKey, l.client)
 		for n := 0; !l.send(caller, standin.OncePath, fmt.Sprintf("back%d-%d", vm, n)); n++ {
 			if time.Now().After(deadline) {
@@ -83,7 +85,7 @@
 	}
 	time.Sleep(time.Until(deadline.Add(-sampleTime)))
 	for n := 0; time.Now().Before(deadline); n++ {
-		vm := n % entryVMs
+		vm := n % l.fleet.shape.entryVMs
 		if id := fmt.Sprintf("calm%d-%d", vm, n); !l.send(l.fleet.caller(vm, mainKey, l.client), standin.ResumePath, id) {
 			o := l.ledger.requests[id]
 			l.ledger.broken("RECOVER", fmt.Sprintf("request %s was answered %d (%v) in calm: %s", id, o.reply.Status, o.err, o.reply.Body))
@@ -109,7 +111,7 @@
 		}
 	}
 	for _, id := range l.ledger.acceptedJobs(false) {
-		for vm := range entryVMs {
+		for vm := range l.fleet.shape.entryVMs {
 			l.look(vm, id)
 		}
 	}
