Items try each failing server once, and wait before their last attempt

Change: all servers that have failed an item are avoided while others are sound, and before the last attempt the item waits 2 s. The soak's ledger now allows an item to be given up after as many failed runs as the route's bound, counted at the engines; with fewer it still breaks a promise.

--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -28,6 +28,9 @@
 	maxAnswerBytes = 900 << 10
 	// itemPause is the pause before an item that failed is run again.
 	itemPause = 200 * time.Millisecond
+	// lastPause is the pause before the last attempt that an item has: the fault of
+	// a server may pass meanwhile, and due times are several times as long.
+	lastPause = 2 * time.Second
 	// stallLimit is the silence after which an item goes on at another server.
 	stallLimit = 2 * time.Second
 	// headLimit is how long an item waits for its first event, which is behind
--- a/jobs/item_run.go
+++ b/jobs/item_run.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net/http"
 	"strconv"
 	"strings"
@@ -33,8 +34,11 @@
 	// text and lastEventID hold what earlier attempts have generated.
 	text        []string
 	lastEventID string
-	failures    int
-	avoid       map[string]bool
+	// failedAt holds the servers that have failed the item, avoid also the one of
+	// the last attempt.
+	failedAt map[string]bool
+	avoid    map[string]bool
+	failures int
 }
 
 // batchPlace is a place with the context that ends when it is taken back.
@@ -63,7 +67,7 @@
 	runner := i.job.runner
 	server := place.Server()
 	startedAt := runner.clock.Now()
-	whole := i.lastEventID == ""
+	whole, failuresBefore := i.lastEventID == "", i.failures
 	outcome, err := i.attempt(place.ctx, server)
 	yielded := errors.Is(context.Cause(place.ctx), relay.ErrYielded)
 	if place.ctx.Err() != nil && err != nil {
@@ -90,8 +94,13 @@
 		runner.observer.Count("item_attempts_failed")
 		runner.log.Info("item attempt ended", "job", i.job.id, "item", i.item.ItemID, "server", server.ServerID,
 			"last_event_id", i.lastEventID, "failures", i.failures, "cause", err.Error())
-		i.avoid = map[string]bool{server.ServerID: true}
-		i.waitAgain(itemPause)
+		i.avoid = maps.Clone(i.failedAt)
+		i.avoid[server.ServerID] = true
+		pause := itemPause
+		if i.failures > failuresBefore && i.failures+1 == maxAttempts {
+			pause = lastPause
+		}
+		i.waitAgain(pause)
 	}
 	runner.Wake()
 }
@@ -142,6 +151,7 @@
 		return placement.OutcomeLeft, errNeverDone
 	case answer.Status == http.StatusInternalServerError && answer.Signed:
 		i.failures++
+		i.failedAt[server.ServerID] = true
 		return placement.OutcomeLeft, errors.New("server answered 500")
 	case answer.Status != http.StatusOK || !answer.Signed:
 		return placement.OutcomeFailed, errors.Newf("server answered %d, signed: %t", answer.Status, answer.Signed)
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -105,7 +105,7 @@
 	defer j.mu.Unlock()
 	j.ctx = ctx
 	for index, item := range items {
-		run := &itemRun{job: j, item: item, index: index, hash: xxhash.Sum64String(item.ItemID), avoid: map[string]bool{}}
+		run := &itemRun{job: j, item: item, index: index, hash: xxhash.Sum64String(item.ItemID), failedAt: map[string]bool{}}
 		run.finished = listed[item.ItemID]
 		j.items = append(j.items, run)
 	}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -263,7 +263,7 @@
 	r.itemRun += time.Duration(itemRunWeight * float64(ran-r.itemRun))
 }
 
-// Stop ends all items; what they have generated goes on at another VM.
+// Stop ends all items; the next owners of their jobs run them anew.
 func (r *Runner) Stop() {
 	r.mu.Lock()
 	r.stopping = true
--- a/soak/ledger.go
+++ b/soak/ledger.go
@@ -131,7 +131,7 @@
 			continue
 		}
 		j.results = append(j.results, result)
-		if want := itemText(result.Identifier); result.State != "done" || result.Text != want {
+		if result.State == "done" && result.Text != itemText(result.Identifier) {
 			l.note("MIXED", fmt.Sprintf("item %s is %s with %q", result.Identifier, result.State, result.Text))
 		}
 	}
@@ -198,11 +198,14 @@
 			items[id] = j
 		}
 	}
-	counts := map[string]int{}
+	counts, failures := map[string]int{}, map[string]int{}
 	var limited []time.Time
 	for _, e := range engines {
 		for _, run := range e.Runs() {
 			counts[run.RequestID]++
+			if run.Failed {
+				failures[run.RequestID]++
+			}
 			l.checkRun(e, run, items[run.RequestID])
 			if run.Team == limitedTeam {
 				limited = append(limited, run.At)
@@ -217,6 +220,13 @@
 			l.note("REFUSED", fmt.Sprintf("request %s was answered %d and ran", id, o.reply.Status))
 		}
 	}
+	for _, j := range l.jobs {
+		for _, result := range j.results {
+			if result.State != "done" && failures[result.Identifier] < standin.JobAttempts {
+				l.note("MIXED", fmt.Sprintf("item %s is %s after %d failures", result.Identifier, result.State, failures[result.Identifier]))
+			}
+		}
+	}
 	l.checkRate(limited)
 }
 
