--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -26,6 +26,14 @@
 	cacheBytes = 24 << 20
 	// maxAnswerBytes bounds the results in one answer to a reader.
 	maxAnswerBytes = 900 << 10
+	// resultGather is how long finished results wait for others to share a commit;
+	// limits on waiting items count those of a second before.
+	resultGather = 800 * time.Millisecond
+	// resultUrgency is the time before a job is due from which its results are
+	// listed at once.
+	resultUrgency = 2 * time.Second
+	// lastListing bounds the last commit of a planned stop.
+	lastListing = time.Second
 	// itemPause is the pause before an item that failed is run again.
 	itemPause = 200 * time.Millisecond
 	// lastPause is the pause before the last attempt that an item has: the fault of
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -61,6 +61,8 @@
 	runs     map[string]int
 	resumes  []string
 	lifetime time.Duration
+	// spread makes each run longer than the one before it.
+	spread time.Duration
 	// failing names the servers that fail all requests.
 	failing map[string]bool
 }
@@ -69,12 +71,13 @@
 	e.mu.Lock()
 	e.runs[attempt.RequestID]++
 	run := e.runs[attempt.RequestID]
+	lifetime := e.lifetime + time.Duration(e.total())*e.spread
 	if attempt.ResumeAfter != "" {
 		e.resumes = append(e.resumes, attempt.RequestID+" after "+attempt.ResumeAfter)
 	}
 	e.mu.Unlock()
-	if e.lifetime > 0 {
-		bergamotgrade.Sleep(ctx, e.lifetime)
+	if lifetime > 0 {
+		bergamotgrade.Sleep(ctx, lifetime)
 	}
 	answer := &bergamotgrade.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true}
 	from, _ := strconv.Atoi(attempt.ResumeAfter)
@@ -98,6 +101,15 @@
 	return answer, nil
 }
 
+// total returns the number of runs; the caller holds the lock.
+func (e *engine) total() int {
+	total := 0
+	for _, runs := range e.runs {
+		total += runs
+	}
+	return total
+}
+
 type brokenBody struct{}
 
 func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
@@ -287,6 +299,40 @@
 	}
 }
 
+// TestResultsShareCommits: results of items that end soon after each other go into
+// one commit, and those that a planned stop finds are listed before it.
+func TestResultsShareCommits(t *testing.T) {
+	f := newFleet()
+	f.engine.spread = 20 * time.Millisecond
+	vm := f.start(t, "vm1")
+	var ids []string
+	for i := range 9 {
+		ids = append(ids, fmt.Sprint("item", i))
+	}
+	qt.Assert(t, vm.submit("j", ids...), qt.IsNil)
+	f.store.mu.Lock()
+	before := f.store.commits
+	f.store.mu.Unlock()
+	vm.results(t, "j", len(ids), 8*time.Second)
+	f.store.mu.Lock()
+	commits := f.store.commits - before
+	f.store.mu.Unlock()
+	qt.Assert(t, commits <= 2, qt.IsTrue, qt.Commentf("%d commits", commits))
+
+	qt.Assert(t, vm.submit("k", ids...), qt.IsNil)
+	f.engine.mu.Lock()
+	ran := f.engine.total()
+	f.engine.mu.Unlock()
+	for begun := ran; begun == ran; time.Sleep(time.Millisecond) {
+		f.engine.mu.Lock()
+		begun = f.engine.total()
+		f.engine.mu.Unlock()
+	}
+	time.Sleep(300 * time.Millisecond)
+	vm.runner.Stop()
+	qt.Assert(t, len(vm.results(t, "k", 1, time.Second)) > 0, qt.IsTrue)
+}
+
 // TestLostAnswers runs a job while each answer of a commit may be lost, before or
 // after it takes effect or long before: every item has one position for good.
 func TestLostAnswers(t *testing.T) {
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -45,23 +45,63 @@
 }
 
 // run loads the job's items and lists results until all are listed.
-func (j *ownedJob) run(ctx context.Context) {
+func (j *ownedJob) run(parent, ctx context.Context) {
 	defer j.runner.drop(j)
 	defer j.cancel()
 	if !j.load(ctx) {
 		return
 	}
 	j.runner.Wake()
-	for {
+	for j.gather(ctx) {
+		if done := j.list(ctx); done {
+			return
+		}
+	}
+	if parent.Err() == nil {
+		// A planned stop: what has finished need not run again.
+		lastCtx, cancel := context.WithTimeout(parent, lastListing)
+		defer cancel()
+		j.list(lastCtx)
+	}
+}
+
+// gather waits until finished results are to be listed: results of items that end
+// soon after each other share a commit, unless the job is due. It returns false
+// when the context has ended.
+func (j *ownedJob) gather(ctx context.Context) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-j.flush:
+	}
+	wait := min(resultGather, j.spec.Due().Sub(j.runner.clock.Now())-resultUrgency)
+	timer := time.NewTimer(max(0, wait))
+	defer timer.Stop()
+	for !j.allFinished() {
 		select {
 		case <-ctx.Done():
-			return
+			return false
+		case <-timer.C:
+			return true
 		case <-j.flush:
 		}
-		if done := j.list(ctx); done {
-			return
+	}
+	return true
+}
+
+// allFinished reports whether no item is left to run, or a commit is full.
+func (j *ownedJob) allFinished() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if len(j.finished) >= maxListed {
+		return true
+	}
+	for _, item := range j.items {
+		if !item.finished {
+			return false
 		}
 	}
+	return true
 }
 
 // load reads the job's items and its listed results.
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -190,7 +190,7 @@
 	job := &ownedJob{runner: r, id: id, spec: head, head: head, cancel: cancel, flush: make(chan struct{}, 1)}
 	r.owned[id] = job
 	r.mu.Unlock()
-	r.running.Go(func() { job.run(jobCtx) })
+	r.running.Go(func() { job.run(ctx, jobCtx) })
 }
 
 // drop forgets a job that has ended or got another owner.
