--- a/entry/view.go
+++ b/entry/view.go
@@ -214,7 +214,7 @@
 	now := v.clock.Now()
 	v.peers[message.VMID] = peer{message: message, heardAt: now}
 	if message.Callers {
-		v.limiter.SetPeer(now, message.VMID, message.Incarnation, message.Admitted)
+		v.limiter.SetPeer(now, message.VMID, message.Incarnation, message.Admitted, message.AllAdmitted)
 	}
 	callers = 1
 	for _, p := range v.peers {
--- a/gossip/lane.go
+++ b/gossip/lane.go
@@ -14,6 +14,7 @@
 	node    *Node
 	budget  *rate.Limiter
 	changes chan struct{}
+	counts  recentCounts
 
 	mu      sync.Mutex
 	targets []peer
@@ -60,7 +61,7 @@
 		case <-l.changes:
 		default:
 		}
-		data, err := l.node.encoded()
+		data, err := Encode(l.counts.trim(time.Now(), l.node.next()))
 		if err != nil {
 			l.node.log.Error("account cannot be encoded", "cause", err.Error())
 		} else {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,7 +1,7 @@
 // Package gossip carries what VMs tell each other all the time, by datagrams:
 // their load at backend servers, the requests that they have admitted, and the
-// version of the configuration that they have in force. Each message holds the
-// whole account of its sender, so a lost one is made up for by the next.
+// version of the configuration that they have in force. A lost message is made up
+// for by the next: each holds all that has changed in a while, some hold all.
 package gossip
 
 import (
@@ -31,8 +31,11 @@
 	Load []ServerLoad
 	// Suspects lists backend servers that have failed this VM of late.
 	Suspects []string
-	// Admitted counts the admitted requests by team since the start.
+	// Admitted counts the admitted requests by team since the start. Counts that
+	// have not changed of late are left out of most messages.
 	Admitted map[string]uint64
+	// AllAdmitted is set where no count is left out.
+	AllAdmitted bool
 }
 
 // ServerLoad is the number of requests at one backend server.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -25,7 +25,7 @@
 	// nearPerSecond and farPerSecond bound the datagrams that one VM sends within
 	// its data centre and to others. Engines are shared within a data centre
 	// first, so news has to be fresh there; traffic between them costs more.
-	nearPerSecond = 600
+	nearPerSecond = 250
 	farPerSecond  = 120
 	// burst is the number of datagrams that may go out at one instant: a round to
 	// the largest data centre.
@@ -157,14 +157,14 @@
 	lanes.Wait()
 }
 
-// encoded returns this VM's account as it is now.
-func (n *Node) encoded() ([]byte, error) {
+// next returns this VM's account as it is now.
+func (n *Node) next() Message {
 	message := n.account()
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.sequence++
 	message.Sequence = n.sequence
-	n.mu.Unlock()
-	return Encode(message)
+	return message
 }
 
 // send sends the datagram to the peers.
--- a/limit/fleet.go
+++ b/limit/fleet.go
@@ -67,10 +67,13 @@
 }
 
 // SetPeer takes a peer's counts of admitted requests by team, which only rise
-// within one incarnation of the peer.
-func (f *Fleet) SetPeer(now time.Time, vmID string, incarnation int64, admitted map[string]uint64) {
+// within one incarnation of the peer. all is set where no team is left out; the
+// first counts of a peer have to be such.
+func (f *Fleet) SetPeer(now time.Time, vmID string, incarnation int64, admitted map[string]uint64, all bool) {
 	peer, ok := f.peers[vmID]
 	switch {
+	case !ok && !all:
+		return
 	case !ok:
 		// What the peer admitted before it was first heard is already past.
 		peer = &fleetPeer{incarnation: incarnation, admitted: map[string]uint64{}}
--- a/limit/fleet_test.go
+++ b/limit/fleet_test.go
@@ -68,7 +68,7 @@
 		for to, other := range m.vms {
 			lost := m.random.IntN(20) == 0 || m.side(from) != m.side(to) || m.now.Before(vm.downUntil) || m.now.Before(other.downUntil)
 			if from != to && !lost {
-				other.limiter.SetPeer(m.now, fmt.Sprint(from), vm.incarnation, vm.limiter.Admitted())
+				other.limiter.SetPeer(m.now, fmt.Sprint(from), vm.incarnation, vm.limiter.Admitted(), true)
 			}
 		}
 	}
@@ -153,3 +153,23 @@
 	}
 	qt.Assert(t, len(m.admits), qt.Equals, 20)
 }
+
+// TestFleetFirstCounts: of a peer that is heard for the first time, counts that
+// are not all of them say nothing; the rest rises from the first whole ones.
+func TestFleetFirstCounts(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := bergamotgrade.FleetTeam{Name: "team", Rate: 100, Burst: 100}
+	f := NewFleet()
+	f.SetKnown(now, 2)
+	f.Prepare(now, map[string]bergamotgrade.FleetTeam{"team": team})
+	f.SetPeer(now, "vm2", 1, map[string]uint64{"team": 500}, false)
+	heard, _ := f.Heard(now)
+	qt.Assert(t, heard, qt.Equals, 1)
+	f.SetPeer(now, "vm2", 1, map[string]uint64{"team": 500}, true)
+	heard, _ = f.Heard(now)
+	qt.Assert(t, heard, qt.Equals, 2)
+	now = now.Add(500 * time.Millisecond)
+	before := f.Levels(now)["team"]
+	f.SetPeer(now, "vm2", 1, map[string]uint64{"team": 503}, false)
+	qt.Assert(t, before-f.Levels(now)["team"], qt.Equals, 3.0)
+}
