--- a/gossip/forwarder.go
+++ b/gossip/forwarder.go
@@ -10,7 +10,7 @@
 
 const (
 	// forwardInterval is the mean pause between two rounds of passing accounts on.
-	forwardInterval = 100 * time.Millisecond
+	forwardInterval = 200 * time.Millisecond
 	// maxForward is the size from which accounts go into a further datagram: one
 	// packet of an ordinary network.
 	maxForward = 1400
