A VM that starts cut off from the store registers through a registered VM

Cause: a VM that starts while it alone does not reach the store, and that no other VM knows any more, hears nobody, and so had no peer to make its calls through; since a VM now waits for its own registration it would not have served before the store answered it.

Change: such a VM tries the VMs of the copied list in turn. TestStartWhileCutOff, red before (not ready within 5 s).

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -309,3 +309,18 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, reply.Status, qt.Equals, http.StatusAccepted)
 }
+
+// TestStartWhileCutOff: a VM that starts while it alone does not reach the store,
+// and of which no other VM knows, takes copies from the seeds, registers through a
+// peer, and serves.
+func TestStartWhileCutOff(t *testing.T) {
+	f := newTestFleet(t)
+	f.addEngine("e1")
+	f.addVM(1, true)
+	way := standin.NewStoreServer(f.store)
+	way.SetFaults(standin.StoreFaults{Down: true})
+	cut := f.addVMAt(2, true, f.serve(way))
+	reply, err := cut.caller("k1").Stream(standin.OncePath, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"log/slog"
 	"sync"
 	"time"
@@ -252,11 +253,21 @@
 }
 
 // storePeer returns the inner address of a VM that reaches the store; which one
-// differs between VMs.
+// differs between VMs. A VM that has just started and hears nobody tries the
+// registered ones in turn.
 func (v *view) storePeer() (address string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, best := v.clock.Now(), uint64(0)
+	if !v.listed && len(v.peers) == 0 {
+		turn := now.Unix()
+		for id, m := range v.members {
+			if score := xxhash.Sum64String(fmt.Sprint(turn, "/", id)); !ok || score > best {
+				address, best, ok = m.InnerAddress, score, true
+			}
+		}
+		return address, ok
+	}
 	for id, p := range v.peers {
 		m, registered := v.members[id]
 		if !registered || !p.reachesStore(now) {
