--- a/integration/harness_test.go
+++ b/integration/harness_test.go
@@ -22,6 +22,7 @@
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/tcpproxy"
 )
 
 func TestMain(m *testing.M) {
@@ -57,7 +58,7 @@
 type fleet struct {
 	ts        *testscript.TestScript
 	processes map[string]*process
-	proxies   map[string]*standin.FaultProxy
+	proxies   map[string]*tcpproxy.Proxy
 	// direct holds the address of each process behind its proxies.
 	direct map[string]string
 	jobs   map[string]*job
@@ -117,7 +118,7 @@
 
 // proxy puts a fault-injecting proxy in front of the address.
 func (f *fleet) proxy(name, target string) string {
-	p, err := standin.NewFaultProxy(target)
+	p, err := tcpproxy.New(target)
 	f.ts.Check(err)
 	f.proxies[name] = p
 	go p.Run()
--- a/integration/script_test.go
+++ b/integration/script_test.go
@@ -20,6 +20,7 @@
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/tcpproxy"
 )
 
 // TestScripts runs each session of testdata against real processes.
@@ -27,7 +28,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata",
 		Setup: func(env *testscript.Env) error {
-			f := &fleet{processes: map[string]*process{}, proxies: map[string]*standin.FaultProxy{}, direct: map[string]string{}, jobs: map[string]*job{}, addresses: standin.NewAddresses()}
+			f := &fleet{processes: map[string]*process{}, proxies: map[string]*tcpproxy.Proxy{}, direct: map[string]string{}, jobs: map[string]*job{}, addresses: standin.NewAddresses()}
 			env.Values[fleetKey{}] = f
 			env.Defer(func() { f.close(t) })
 			return nil
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -18,7 +18,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
-	faults "github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/tcpproxy"
 )
 
 // The services and teams of the configuration. Each service has half of the
@@ -37,7 +37,7 @@
 	service string
 	// address is the engine's own, proxy the way that the registry names.
 	address string
-	proxy   *faults.FaultProxy
+	proxy   *tcpproxy.Proxy
 }
 
 // fleet is the system under test and what surrounds it.
@@ -51,8 +51,8 @@
 	vms     []*process
 	// storeWays and callerWays lead from each VM to the store and to it from its
 	// callers; disk VMs have no callers.
-	storeWays  []*faults.FaultProxy
-	callerWays []*faults.FaultProxy
+	storeWays  []*tcpproxy.Proxy
+	callerWays []*tcpproxy.Proxy
 	listeners  []net.Listener
 
 	mu      sync.Mutex
@@ -134,8 +134,8 @@
 // run serves until the listener closes.
 func (s *standinServer) run() { _ = http.Serve(s.listener, s.handler) }
 
-func (f *fleet) proxy(target string) (*faults.FaultProxy, error) {
-	p, err := faults.NewFaultProxy(target)
+func (f *fleet) proxy(target string) (*tcpproxy.Proxy, error) {
+	p, err := tcpproxy.New(target)
 	if err != nil {
 		return nil, err
 	}
@@ -211,7 +211,7 @@
 			vm.end(syscall.SIGKILL, time.Second)
 		}
 	}
-	for _, way := range append(append([]*faults.FaultProxy{}, f.storeWays...), f.callerWays...) {
+	for _, way := range append(append([]*tcpproxy.Proxy{}, f.storeWays...), f.callerWays...) {
 		way.Close()
 	}
 	for _, e := range f.engines {
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -9,7 +9,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
-	faults "github.com/bergamotgrade/bergamotgrade/standin"
+	"github.com/bergamotgrade/bergamotgrade/tcpproxy"
 )
 
 // injector carries out a plan of faults.
@@ -176,7 +176,7 @@
 
 // silence drops data on the way, in both directions or only of answers; new
 // connections are as silent where both are.
-func silence(way *faults.FaultProxy, both bool) (end func()) {
+func silence(way *tcpproxy.Proxy, both bool) (end func()) {
 	way.SetSwallow(both)
 	way.Silence(both, true)
 	return func() {
@@ -187,7 +187,7 @@
 	}
 }
 
-func (i *injector) reopen(way *faults.FaultProxy) {
+func (i *injector) reopen(way *tcpproxy.Proxy) {
 	if err := way.Reopen(); err != nil {
 		i.fleet.ledger.broken("soak", "proxy not opened again: "+err.Error())
 		return
--- a/standin/fault_proxy.go
+++ b/tcpproxy/proxy.go
@@ -1,4 +1,6 @@
-package standin
+// Package tcpproxy forwards TCP connections and injects faults into them, for tests
+// of real processes.
+package tcpproxy
 
 import (
 	"io"
@@ -8,8 +10,8 @@
 	"time"
 )
 
-// FaultProxy forwards TCP connections to a target and injects faults.
-type FaultProxy struct {
+// Proxy forwards TCP connections to a target and injects faults.
+type Proxy struct {
 	address string
 	delay   atomic.Int64
 	// swallow makes new connections silent too.
@@ -23,7 +25,7 @@
 
 // link is one forwarded connection.
 type link struct {
-	proxy  *FaultProxy
+	proxy  *Proxy
 	client net.Conn
 	server net.Conn
 	// toServer and toClient drop what passes in their direction.
@@ -34,20 +36,20 @@
 	truncate atomic.Int64
 }
 
-// NewFaultProxy returns a proxy that listens on a free loopback port.
-func NewFaultProxy(target string) (*FaultProxy, error) {
+// New returns a proxy that listens on a free loopback port.
+func New(target string) (*Proxy, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	return &FaultProxy{target: target, address: listener.Addr().String(), listener: listener, links: map[*link]struct{}{}}, nil
+	return &Proxy{target: target, address: listener.Addr().String(), listener: listener, links: map[*link]struct{}{}}, nil
 }
 
 // Address returns the host:port that the proxy listens on.
-func (p *FaultProxy) Address() string { return p.address }
+func (p *Proxy) Address() string { return p.address }
 
 // Run forwards connections until the listener closes.
-func (p *FaultProxy) Run() {
+func (p *Proxy) Run() {
 	p.mu.Lock()
 	listener := p.listener
 	p.mu.Unlock()
@@ -61,7 +63,7 @@
 }
 
 // Close stops the proxy and cuts all links; new connections are refused.
-func (p *FaultProxy) Close() {
+func (p *Proxy) Close() {
 	p.mu.Lock()
 	_ = p.listener.Close()
 	p.mu.Unlock()
@@ -69,7 +71,7 @@
 }
 
 // Reopen listens again after Close; Run has to be called again.
-func (p *FaultProxy) Reopen() error {
+func (p *Proxy) Reopen() error {
 	listener, err := net.Listen("tcp", p.address)
 	if err != nil {
 		return err
@@ -81,7 +83,7 @@
 }
 
 // SetTarget has new connections go to another target, and cuts the open ones.
-func (p *FaultProxy) SetTarget(target string) {
+func (p *Proxy) SetTarget(target string) {
 	p.mu.Lock()
 	p.target = target
 	p.mu.Unlock()
@@ -89,20 +91,20 @@
 }
 
 // Target returns where new connections go.
-func (p *FaultProxy) Target() string {
+func (p *Proxy) Target() string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.target
 }
 
 // SetDelay delays each piece of data in both directions.
-func (p *FaultProxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
+func (p *Proxy) SetDelay(delay time.Duration) { p.delay.Store(int64(delay)) }
 
 // SetSwallow makes new connections silent.
-func (p *FaultProxy) SetSwallow(swallow bool) { p.swallow.Store(swallow) }
+func (p *Proxy) SetSwallow(swallow bool) { p.swallow.Store(swallow) }
 
 // Cut resets all open links.
-func (p *FaultProxy) Cut() {
+func (p *Proxy) Cut() {
 	for _, l := range p.open() {
 		reset(l.client)
 		reset(l.server)
@@ -111,7 +113,7 @@
 
 // Silence makes all open links drop data without closing, in one direction or
 // in both; new connections work.
-func (p *FaultProxy) Silence(toServer, toClient bool) {
+func (p *Proxy) Silence(toServer, toClient bool) {
 	for _, l := range p.open() {
 		l.toServer.Store(toServer)
 		l.toClient.Store(toClient)
@@ -119,13 +121,13 @@
 }
 
 // Truncate cuts each open link after as many further bytes to the client.
-func (p *FaultProxy) Truncate(after int64) {
+func (p *Proxy) Truncate(after int64) {
 	for _, l := range p.open() {
 		l.truncate.Store(after)
 	}
 }
 
-func (p *FaultProxy) open() []*link {
+func (p *Proxy) open() []*link {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	links := make([]*link, 0, len(p.links))
@@ -136,7 +138,7 @@
 }
 
 // run forwards one connection until it ends.
-func (p *FaultProxy) run(client net.Conn) {
+func (p *Proxy) run(client net.Conn) {
 	defer client.Close()
 	server, err := net.Dial("tcp", p.Target())
 	if err != nil {
