--- a/relay/events.go
+++ b/relay/events.go
@@ -82,9 +82,6 @@
 	}
 }
 
-// Buffered reports whether another whole event is there without reading.
-func (r *EventReader) Buffered() bool { return eventEnd(r.buffer) > 0 }
-
 // eventEnd returns the length of the first whole event, or 0.
 func eventEnd(data []byte) int {
 	end := 0
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -291,3 +291,79 @@
 		qt.Assert(t, strings.HasPrefix(text, joined.String()), qt.IsTrue)
 	})
 }
+
+// TestNoFailureBehindEvents: where another server refuses to go on with a stream
+// that has begun, the caller's answer breaks off; the refusal is not joined to it.
+func TestNoFailureBehindEvents(t *testing.T) {
+	for _, status := range []int{http.StatusNotFound, http.StatusBadRequest} {
+		relay, _ := newRelay(newDesk("a", "b"),
+			step{status: 200, body: events(1, 2), broken: true},
+			step{status: status, body: "no"})
+		var out recorder
+		qt.Assert(t, errors.Is(relay.Serve(context.Background(), stream(true, 2), &out), ErrBroken), qt.IsTrue)
+		qt.Assert(t, out.body.String(), qt.Equals, events(1, 2))
+	}
+}
+
+// TestLimitsOfAttempts: a silent server costs a repeatable stream part of its time
+// only while another server may run it; a stream that cannot go on elsewhere has
+// no limits of its own.
+func TestLimitsOfAttempts(t *testing.T) {
+	relay, s := newRelay(newDesk("a", "b"), step{status: 200, body: events(1, 1), broken: true}, step{status: 200, body: events(2, 2)})
+	qt.Assert(t, relay.Serve(context.Background(), stream(true, 2), &recorder{}), qt.IsNil)
+	qt.Assert(t, s.attempts[0].HeadLimit > 0 && s.attempts[0].StallLimit > 0, qt.IsTrue)
+	qt.Assert(t, s.attempts[1].HeadLimit, qt.Equals, time.Duration(0))
+	qt.Assert(t, s.attempts[1].StallLimit > 0, qt.IsTrue)
+	relay, s = newRelay(newDesk("a"), step{status: 200, body: events(1, 1)})
+	qt.Assert(t, relay.Serve(context.Background(), stream(false, 1), &recorder{}), qt.IsNil)
+	qt.Assert(t, s.attempts[0].HeadLimit+s.attempts[0].StallLimit, qt.Equals, time.Duration(0))
+}
+
+// TestLeavingCallersBlameNoServer: a server is not ejected for callers that leave
+// within their answers.
+func TestLeavingCallersBlameNoServer(t *testing.T) {
+	desk := newDesk("a")
+	for range 4 {
+		relay, _ := newRelay(desk, step{status: 200, body: events(1, 2)})
+		err := relay.Serve(context.Background(), stream(true, 2), &recorder{fail: errors.New("caller left")})
+		qt.Assert(t, err, qt.IsNotNil)
+	}
+	qt.Assert(t, desk.Suspects(), qt.HasLen, 0)
+}
+
+// TestBatchWaitsBehindOnline: no batch item starts while an online request waits.
+func TestBatchWaitsBehindOnline(t *testing.T) {
+	desk := newDesk("a")
+	desk.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 3}})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var running sync.WaitGroup
+	running.Go(func() {
+		_, err := desk.Acquire(ctx, Want{Service: "svc", Avoid: map[string]bool{"a": true}, Deadline: time.Now().Add(time.Minute)})
+		qt.Check(t, err, qt.IsNil)
+	})
+	running.Wait() // the only server is used although it is to be avoided
+	desk.SetPeer("vm2", map[string]placement.Load{"a": {2, 0}}, nil, 2)
+	running.Go(func() { _, _ = desk.Acquire(ctx, Want{Service: "svc", Deadline: time.Now().Add(time.Minute)}) })
+	for waits := 0; waits == 0; time.Sleep(time.Millisecond) {
+		desk.mu.Lock()
+		waits = desk.queue("svc").Len()
+		desk.mu.Unlock()
+	}
+	desk.mu.Lock()
+	desk.board.SetPeer(time.Now(), "vm2", nil, nil)
+	desk.mu.Unlock()
+	_, _, ok := desk.AcquireBatch(ctx, "svc", nil, time.Now())
+	qt.Assert(t, ok, qt.IsFalse)
+	cancel()
+	running.Wait()
+}
+
+// TestUnfinishedEvent: a stream that ends within an event is not complete.
+func TestUnfinishedEvent(t *testing.T) {
+	reader := NewEventReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n"))
+	_, err := reader.Next()
+	qt.Assert(t, err, qt.IsNil)
+	_, err = reader.Next()
+	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
+}
--- a/release/follower.go
+++ b/release/follower.go
@@ -45,13 +45,6 @@
 	f.listeners = append(f.listeners, listener)
 }
 
-// ReadAt returns when the last successful read of the head began.
-func (f *Follower) ReadAt() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.readAt
-}
-
 // Refresh brings the state up to the platform's head.
 func (f *Follower) Refresh(ctx context.Context) error {
 	startedAt := f.clock.Now()
