--- a/entry/node.go
+++ b/entry/node.go
@@ -349,7 +349,11 @@
 		if _, follows := n.Watcher(); follows && !n.kv.Away() {
 			continue
 		}
+		before := n.kv.Away()
 		n.kv.Probe(ctx, n.membership.leaseID.Load(), probeTimeout)
+		if n.kv.Away() != before {
+			n.announce() // others choose their watchers by it
+		}
 	}
 }
 
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -27,6 +27,18 @@
 	watcherTimeout = 1100 * time.Millisecond
 	// watcherAvoided is how long a watcher that did not answer is not asked.
 	watcherAvoided = 3 * time.Second
+	// watcherPatience is how long a follower waits for a watcher that reaches the
+	// store, or for another one in its place, before it watches by itself: news of
+	// watchers takes less, and all followers at once are a burst of calls.
+	watcherPatience = 300 * time.Millisecond
+	// watcherRetry is the pause between two questions in that time.
+	watcherRetry = 100 * time.Millisecond
+	// awayRetry is how long a mirror waits for news of the store's return, which
+	// probes bring, before it tries by itself.
+	awayRetry = 1500 * time.Millisecond
+	// returnPause is the pause after the store's return in which VMs learn which of
+	// them reach it, so that not all of them watch it.
+	returnPause = 200 * time.Millisecond
 	// gather is the pause between two watches, in which changes gather; it bounds
 	// the calls of a busy prefix.
 	gather = 250 * time.Millisecond
@@ -95,6 +107,9 @@
 	WatchAt(ctx context.Context, address, prefix string, above int64) (Copy, error)
 }
 
+// errIndirect is the failure of a watcher that does not reach the store.
+var errIndirect = errors.New("it does not watch the store itself")
+
 // NewMirror returns an empty copy of the prefix; Run keeps it up to date.
 func NewMirror(kv *Reach, clock bergamotgrade.Clock, prefix string, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
@@ -190,17 +205,31 @@
 // centre where there is one, else at the store.
 func (m *Mirror) Run(ctx context.Context) {
 	backoff, listed := firstBackoff, false
-	var avoidUntil time.Time
+	var avoidUntil, indirectSince time.Time
 	for ctx.Err() == nil {
-		if address, ok := m.peers.Watcher(); ok && listed && m.clock.Now().After(avoidUntil) {
-			if err := m.watchAt(ctx, address); err != nil {
+		m.awaitReturn(ctx)
+		now := m.clock.Now()
+		if address, ok := m.peers.Watcher(); ok && listed && now.After(avoidUntil) {
+			err := m.watchAt(ctx, address)
+			now = m.clock.Now()
+			switch {
+			case err == nil:
+				indirectSince = time.Time{}
+			case errors.Is(err, errIndirect) && (indirectSince.IsZero() || now.Sub(indirectSince) < watcherPatience):
+				if indirectSince.IsZero() {
+					indirectSince = now
+				}
+				bergamotgrade.Sleep(ctx, watcherRetry)
+			default:
 				m.log.Info("watcher of the data centre does not answer; watching the store", "prefix", m.prefix, "watcher", address, "cause", err.Error())
-				avoidUntil = m.clock.Now().Add(watcherAvoided)
+				indirectSince, avoidUntil = time.Time{}, now.Add(watcherAvoided)
 			}
 			continue
 		}
 		var err error
 		if listed {
+			// Followers need not wait for the first change.
+			m.setDirect(!m.kv.Away())
 			err = m.watch(ctx)
 		} else {
 			err = m.list(ctx)
@@ -227,6 +256,23 @@
 	}
 }
 
+// awaitReturn waits while the store is away, for a while.
+func (m *Mirror) awaitReturn(ctx context.Context) {
+	turned := m.kv.Turned()
+	if !m.kv.Away() {
+		return
+	}
+	m.setDirect(false)
+	timer := time.NewTimer(awayRetry)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	case <-turned:
+		bergamotgrade.Sleep(ctx, returnPause)
+	}
+}
+
 func (m *Mirror) setDirect(direct bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -259,7 +305,7 @@
 	case err != nil:
 		return err
 	case !copied.Direct:
-		return errors.New("it does not watch the store itself")
+		return errIndirect
 	case copied.Revision > above:
 		m.take(copied, m.drop)
 	}
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -19,6 +19,8 @@
 type cutStore struct {
 	*standin.Store
 	down atomic.Bool
+	// watches counts the calls of Changes.
+	watches atomic.Int64
 }
 
 func (s *cutStore) fail() error {
@@ -36,6 +38,7 @@
 }
 
 func (s *cutStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bergamotgrade.KeyChange, int64, error) {
+	s.watches.Add(1)
 	if err := s.fail(); err != nil {
 		return nil, 0, err
 	}
@@ -229,6 +232,46 @@
 	eventually(t, 2*time.Second, "change through the peer", func() bool { return watcher.has("servers/a", "2") })
 }
 
+// TestFollowerWaitsForAnotherWatcher: where another VM takes the watch over soon, a
+// follower makes no calls of its own. Load pattern: a watcher is cut off, and 20
+// followers of four prefixes would watch the store for seconds.
+func TestFollowerWaitsForAnotherWatcher(t *testing.T) {
+	store := standin.NewStore(bergamotgrade.SystemClock{})
+	put(t, store, "servers/a", "1")
+	first, second, f := newFollower(t, store), newFollower(t, store), newFollower(t, store)
+	eventually(t, time.Second, "first copies", func() bool { return second.has("servers/a", "1") && f.has("servers/a", "1") })
+	f.peers.set(first.Mirror)
+	put(t, store, "servers/a", "2")
+	eventually(t, time.Second, "change", func() bool { return f.has("servers/a", "2") })
+	time.Sleep(2 * gather)
+	before := f.store.watches.Load()
+	first.store.down.Store(true)
+	first.reach.Probe(context.Background(), 0, time.Second)
+	time.Sleep(watcherPatience / 2)
+	f.peers.set(second.Mirror)
+	put(t, store, "servers/a", "3")
+	eventually(t, time.Second, "change by the other watcher", func() bool { return f.has("servers/a", "3") })
+	qt.Assert(t, f.store.watches.Load(), qt.Equals, before)
+}
+
+// TestOutageCostsFewCalls: while the store is away its return is left to the
+// probes.
+func TestOutageCostsFewCalls(t *testing.T) {
+	store := standin.NewStore(bergamotgrade.SystemClock{})
+	put(t, store, "servers/a", "1")
+	f := newFollower(t, store)
+	eventually(t, time.Second, "first copy", func() bool { return f.has("servers/a", "1") })
+	f.store.down.Store(true)
+	f.reach.Probe(context.Background(), 0, time.Second)
+	before := f.store.watches.Load()
+	time.Sleep(2500 * time.Millisecond)
+	qt.Assert(t, f.store.watches.Load()-before <= 2, qt.IsTrue, qt.Commentf("%d calls", f.store.watches.Load()-before))
+	f.store.down.Store(false)
+	put(t, store, "servers/a", "2")
+	f.reach.Probe(context.Background(), 0, time.Second)
+	eventually(t, time.Second, "change after the return", func() bool { return f.has("servers/a", "2") })
+}
+
 // TestReturnIsNoticedByProbe: a VM that makes no calls of its own notices by its
 // probes that it reaches the store again.
 func TestReturnIsNoticedByProbe(t *testing.T) {
