--- a/gossip/node.go
+++ b/gossip/node.go
@@ -20,7 +20,8 @@
 	// maxDatagram bounds a received message.
 	maxDatagram = 64 << 10
 	// partnersPerDataCentre is the number of VMs of another data centre that hear
-	// a VM directly; two of them may be lost with one disk of each.
+	// a VM directly. With four, news still arrives while two of them are lost and
+	// the link to a third is cut.
 	partnersPerDataCentre = 4
 	// nearPerSecond and farPerSecond bound the datagrams that one VM sends within
 	// its data centre and to others. Engines are shared within a data centre
