SIGHUP asked for first; proxies below the range of outgoing ports; requests sent once

Change: the first statement of the program asks for it.

Change: tcpproxy.New takes its address, which standin.Addresses allocates below that range.

Change: the harness's requests cannot be sent again.

--- a/cmd/bergamot-vm/main.go
+++ b/cmd/bergamot-vm/main.go
@@ -10,7 +10,8 @@
 )
 
 func main() {
-	if err := entry.Execute(context.Background()); err != nil {
+	hangups := entry.Hangups()
+	if err := entry.Execute(context.Background(), hangups); err != nil {
 		fmt.Fprintln(os.Stderr, "bergamot-vm:", err)
 		os.Exit(1)
 	}
--- a/cmd/manpages/main.go
+++ b/cmd/manpages/main.go
@@ -17,7 +17,7 @@
 func main() {
 	// A fixed date keeps the generated pages unchanged unless the commands change.
 	date := time.Date(2026, time.December, 1, 0, 0, 0, 0, time.UTC)
-	for _, command := range []*cobra.Command{daemon.NewCommand(), ctl.NewCommand(), entry.NewCommand()} {
+	for _, command := range []*cobra.Command{daemon.NewCommand(), ctl.NewCommand(), entry.NewCommand(nil)} {
 		command.DisableAutoGenTag = true
 		header := &doc.GenManHeader{Section: "1", Source: "bergamotgrade", Date: &date}
 		if err := doc.GenManTree(command, header, "man"); err != nil {
--- a/entry/command.go
+++ b/entry/command.go
@@ -3,14 +3,15 @@
 import (
 	"context"
 	"fmt"
+	"os"
 
 	"github.com/spf13/cobra"
 
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
-// NewCommand returns the root command of bergamot-vm.
-func NewCommand() *cobra.Command {
+// NewCommand returns the root command of bergamot-vm; hangups is the channel of Hangups.
+func NewCommand(hangups chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
 		Use:           "bergamot-vm",
 		Short:         "Run one VM of the system on the users' platform",
@@ -18,13 +19,13 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newRoleCommand("entry", "Serve requests from callers"),
-		newRoleCommand("disk", "Run batch items on a disk VM"),
+		newRoleCommand(hangups, "entry", "Serve requests from callers"),
+		newRoleCommand(hangups, "disk", "Run batch items on a disk VM"),
 	)
 	return root
 }
 
-func newRoleCommand(name, short string) *cobra.Command {
+func newRoleCommand(hangups chan os.Signal, name, short string) *cobra.Command {
 	var metricsPort int
 	command := &cobra.Command{
 		Use:   name,
@@ -33,7 +34,7 @@
 			"SIGTERM stops the VM after it has completed the requests in flight within the stop grace\nperiod. SIGHUP reads the settings file again; a change takes effect at the next start.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			if err := Main(command.Context(), metricsPort); err != nil {
+			if err := Main(command.Context(), hangups, metricsPort); err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
 			return nil
@@ -43,5 +44,8 @@
 	return command
 }
 
-// Execute runs the root command with the arguments of the process.
-func Execute(ctx context.Context) error { return NewCommand().ExecuteContext(ctx) }
+// Execute runs the root command with the arguments of the process; hangups is the channel
+// of Hangups.
+func Execute(ctx context.Context, hangups chan os.Signal) error {
+	return NewCommand(hangups).ExecuteContext(ctx)
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -16,9 +16,17 @@
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
-// Main runs one VM with the platform's settings file until SIGTERM or SIGINT.
-// metricsPort is the port of the metrics page; 0 serves none.
-func Main(ctx context.Context, metricsPort int) error {
+// Hangups returns the channel of SIGHUP signals. A program calls it before anything else:
+// until then the signal ends the process.
+func Hangups() chan os.Signal {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	return signals
+}
+
+// Main runs one VM with the platform's settings file until SIGTERM or SIGINT. hangups is
+// the channel of Hangups, metricsPort the port of the metrics page; 0 serves none.
+func Main(ctx context.Context, hangups chan os.Signal, metricsPort int) error {
 	path := platform.SettingsPath()
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -41,8 +49,7 @@
 	node.metrics.Gauge("log_lines_dropped", writer.dropped.Load)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	reload := &reloader{path: path, current: settings, log: log, signals: make(chan os.Signal, 1)}
-	signal.Notify(reload.signals, syscall.SIGHUP)
+	reload := &reloader{path: path, current: settings, log: log, signals: hangups}
 	logging.Go(func() { reload.run(logCtx) })
 	return node.Run(ctx)
 }
--- a/integration/request_test.go
+++ b/integration/request_test.go
@@ -81,16 +81,10 @@
 	if spec.address == "" {
 		spec.address = f.proxies[spec.vm].Address()
 	}
-	req, err := http.NewRequest(spec.method, "http://"+spec.address+spec.path, strings.NewReader(spec.body))
+	req, err := spec.request()
 	if err != nil {
 		return err.Error() + "\n"
 	}
-	for name, values := range spec.header {
-		req.Header[name] = values
-	}
-	if spec.key != "" {
-		req.Header.Set("Authorization", "Bearer "+spec.key)
-	}
 	res, err := client.Do(req)
 	if err != nil {
 		callerTransport.CloseIdleConnections()
@@ -115,6 +109,24 @@
 	return text
 }
 
+// request returns the HTTP request of the spec. net/http would send a request with an
+// Idempotency-Key again when a kept connection breaks, and report the error of the second
+// connection; without GetBody it cannot.
+func (spec requestSpec) request() (*http.Request, error) {
+	req, err := http.NewRequest(spec.method, "http://"+spec.address+spec.path, strings.NewReader(spec.body))
+	if err != nil {
+		return nil, err
+	}
+	req.GetBody = nil
+	for name, values := range spec.header {
+		req.Header[name] = values
+	}
+	if spec.key != "" {
+		req.Header.Set("Authorization", "Bearer "+spec.key)
+	}
+	return req, nil
+}
+
 var (
 	uuidPattern    = regexp.MustCompile(`[0-9a-f]{8}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{4}-[0-9a-f]{12}`)
 	createdPattern = regexp.MustCompile(`"created":\d+`)
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -34,6 +34,10 @@
 	// callTimeout is the timeout of a caller's HTTP client, longer than that of any route.
 	callTimeout = 6 * time.Second
 
+	// processStartTime is the time from the start of a process to the first statement of
+	// its program, with a margin for a busy machine. entry.TestHangupDuringStart sends
+	// SIGHUP from that statement on.
+	processStartTime = 20 * time.Millisecond
 	// startTimeout bounds the time until all VMs that serve callers are ready.
 	startTimeout = 14 * time.Second
 	// recoveryTimeout is the platform's bound on the time until the fleet serves again
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -18,6 +18,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
+	ownstandin "github.com/bergamotgrade/bergamotgrade/standin"
 	"github.com/bergamotgrade/bergamotgrade/tcpproxy"
 )
 
@@ -54,6 +55,8 @@
 	storeProxies  []*tcpproxy.Proxy
 	callerProxies []*tcpproxy.Proxy
 	listeners     []net.Listener
+	// addresses allocates the addresses of the proxies.
+	addresses *ownstandin.Addresses
 
 	mu      sync.Mutex
 	version int
@@ -66,7 +69,7 @@
 // newFleet starts a fleet and waits until its entry VMs are ready. Settings files and
 // logs go to the folder. The fleet is non-nil also on error and has to be stopped.
 func newFleet(binary, folder string, size fleetSize, checker *checker) (*fleet, error) {
-	f := &fleet{size: size, folder: folder, checker: checker, store: standin.NewStore(bergamotgrade.SystemClock{})}
+	f := &fleet{size: size, folder: folder, checker: checker, store: standin.NewStore(bergamotgrade.SystemClock{}), addresses: ownstandin.NewAddresses()}
 	f.storeServer = standin.NewStoreServer(f.store)
 	storeAddress, err := f.serve(f.storeServer)
 	if err != nil {
@@ -136,7 +139,7 @@
 func (s *standinServer) run() { _ = http.Serve(s.listener, s.handler) }
 
 func (f *fleet) startProxy(target string) (*tcpproxy.Proxy, error) {
-	p, err := tcpproxy.New(target)
+	p, err := tcpproxy.New(f.addresses.Next(), target)
 	if err != nil {
 		return nil, err
 	}
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -145,7 +145,7 @@
 	case faultRetire:
 		return i.retire(f, vm)
 	case faultReload:
-		vm.signal(syscall.SIGHUP)
+		vm.hangUp()
 	case faultCallersReset:
 		callerProxy.ResetOpen()
 	case faultCallersSlow:
--- a/soak/process.go
+++ b/soak/process.go
@@ -30,6 +30,7 @@
 	// exited is closed when the current process exits.
 	exited       chan struct{}
 	exitExpected bool
+	startedAt    time.Time
 }
 
 // start writes the settings file and starts the program; its output is appended to the
@@ -55,7 +56,7 @@
 	if err := command.Start(); err != nil {
 		return errors.CombineErrors(err, log.Close())
 	}
-	p.command, p.exitExpected, p.exited = command, false, make(chan struct{})
+	p.command, p.exitExpected, p.exited, p.startedAt = command, false, make(chan struct{}), time.Now()
 	go p.wait(command, log, p.exited)
 	return nil
 }
@@ -85,6 +86,16 @@
 	_ = p.command.Process.Signal(signal)
 }
 
+// hangUp sends SIGHUP, but not before the first statement of the program can have run:
+// until then the signal ends any process.
+func (p *process) hangUp() {
+	p.mu.Lock()
+	startedAt := p.startedAt
+	p.mu.Unlock()
+	time.Sleep(time.Until(startedAt.Add(processStartTime)))
+	p.signal(syscall.SIGHUP)
+}
+
 // terminate sends the signal and waits until the process exits. It sends SIGKILL after
 // the timeout and then returns false.
 func (p *process) terminate(signal syscall.Signal, timeout time.Duration) bool {
--- a/tcpproxy/proxy.go
+++ b/tcpproxy/proxy.go
@@ -36,10 +36,11 @@
 	truncateAfter atomic.Int64
 }
 
-// New returns a proxy to the target (host:port) that listens on a free loopback port. Run
-// accepts its connections.
-func New(target string) (*Proxy, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// New returns a proxy to the target that listens on the address, both host:port. Run
+// accepts its connections. The port has to lie below the range of outgoing connections:
+// one of these could otherwise take it between Close and Reopen.
+func New(address, target string) (*Proxy, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
