--- a/entry/node.go
+++ b/entry/node.go
@@ -7,7 +7,9 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -72,14 +74,19 @@
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
 	innerAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
 	var err error
-	if n.gossip, err = gossip.New(settings.VMID, gossip.Peer{Address: innerAddress, DataCentre: settings.DataCentre}, n.status, n.handleGossip, n.metrics.Map("gossip"), log); err != nil {
+	n.gossip, err = gossip.New(gossip.Config{
+		VMID: settings.VMID, Incarnation: n.incarnation,
+		Self:   gossip.Peer{Address: innerAddress, DataCentre: settings.DataCentre, Weight: settings.Cores},
+		Status: n.status, Receive: n.handleReport, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), Log: log,
+	})
+	if err != nil {
 		return nil, err
 	}
 	n.peers = vm.NewPeers("", n.metrics.Map("inner"))
 	n.peerServer = vm.NewFuncServer("", n.handlePeerCall, n.metrics.Map("inner"))
 	n.membership = &membership{
 		kv: n.kv, term: max(memberLeaseTerm, settings.StoreLeaseMin), log: log,
-		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: innerAddress, DataCentre: settings.DataCentre, Callers: takesCallers},
+		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: innerAddress, DataCentre: settings.DataCentre, Callers: takesCallers, Cores: settings.Cores},
 	}
 	n.headCache = jobs.NewHeadCache(log)
 	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
@@ -119,39 +126,56 @@
 }
 
 // status returns the current status of this VM for its peers.
-func (n *Node) status() gossip.Message {
-	message := gossip.Message{
-		VMID: n.settings.VMID, Incarnation: n.incarnation, Version: n.view.configurationVersion(),
-		Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
-		StoreUnreachable: n.kv.Unreachable(),
-		Admitted:         n.view.admittedCounts(),
-		Suspects:         n.scheduler.Suspects(),
+func (n *Node) status() gossip.Status {
+	status := gossip.Status{
+		VM: gossip.VMState{
+			VMID: n.settings.VMID, Incarnation: n.incarnation, Version: n.view.configurationVersion(),
+			Callers: n.settings.CallerAddress != "", Runner: n.settings.CallerAddress == "", Leaving: n.view.Leaving(),
+			StoreUnreachable: n.kv.Unreachable(),
+		},
+		Admitted: n.view.admittedCounts(),
+		Suspects: n.scheduler.Suspects(),
 	}
 	for id, load := range n.scheduler.Load() {
-		message.Load = append(message.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
+		status.Load = append(status.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
 	}
-	return message
+	slices.SortFunc(status.Load, func(a, b gossip.ServerLoad) int { return strings.Compare(a.ServerID, b.ServerID) })
+	return status
 }
 
-// handleGossip applies the status message of a peer.
-func (n *Node) handleGossip(message gossip.Message) {
-	if message.VMID == n.settings.VMID {
-		return
-	}
-	callers := n.view.recordMessage(message)
-	byServer := make(map[string]placement.Load, len(message.Load))
-	for _, load := range message.Load {
-		byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
+// handleReport applies the report about the VMs of a data centre.
+func (n *Node) handleReport(report gossip.Report) {
+	if len(report.Limits) > 0 {
+		n.scheduler.LimitBatch(report.Limits)
+	}
+	if report.HubID == "" {
+		return // limits only
+	}
+	callers := n.view.recordReport(report)
+	if report.Current {
+		byServer := make(map[string]placement.Load, len(report.Load))
+		for _, load := range report.Load {
+			byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
+		}
+		n.scheduler.UpdatePeers(report.DataCentre, byServer, report.Suspects, callers)
 	}
-	n.scheduler.UpdatePeer(message.VMID, byServer, message.Suspects, callers)
-	if message.Callers && n.view.claimLevelFetch() {
-		n.peerTasks.Go(func() { n.fetchBucketLevels(message.VMID) })
+	version := int64(0)
+	for _, state := range report.VMs {
+		if state.Callers && n.view.claimLevelFetch() {
+			n.peerTasks.Go(func() { n.fetchBucketLevels(state.VMID) })
+		}
+		version = max(version, state.Version)
 	}
-	if message.Version > n.view.configurationVersion() {
+	if version > n.view.configurationVersion() {
 		n.mirrors[platform.OperatorPrefix].TriggerPeerFetch()
 	}
 }
 
+// limitBatch returns the VMs of this data centre that have to end batch runs.
+func (n *Node) limitBatch(runs []bergamotgrade.BatchRuns) []bergamotgrade.BatchRuns {
+	return placement.LimitBatch(n.scheduler.ExcessBatch(), runs)
+}
+
 // setOperatorEntries applies the configuration and the retirement order that the operator
 // has written to the store.
 func (n *Node) setOperatorEntries(entries map[string]bergamotgrade.Entry) {
--- a/entry/view.go
+++ b/entry/view.go
@@ -27,25 +27,27 @@
 	DataCentre   string `json:"data_centre"`
 	// Callers is set on VMs that take requests of callers.
 	Callers bool `json:"callers"`
+	// Cores is the VM's share of a core, or its number of cores.
+	Cores float64 `json:"cores,omitempty"`
 }
 
-// peer is the last gossip message of another VM.
+// peer is the state of another VM by the last digest that lists it.
 type peer struct {
-	message    gossip.Message
+	gossip.VMState
 	receivedAt time.Time
 }
 
-// messageWithin reports whether the VM's last message is at most maxAge old.
-func (p peer) messageWithin(now time.Time, maxAge time.Duration) bool {
+// listedWithin reports whether a digest that lists the VM is at most maxAge old.
+func (p peer) listedWithin(now time.Time, maxAge time.Duration) bool {
 	return now.Sub(p.receivedAt) <= maxAge
 }
 
 // reachesStore reports whether the VM is alive, is not stopping and reaches the store.
 func (p peer) reachesStore(now time.Time) bool {
-	return p.messageWithin(now, watcherTimeout) && !p.message.Leaving && !p.message.StoreUnreachable
+	return p.listedWithin(now, watcherTimeout) && !p.Leaving && !p.StoreUnreachable
 }
 
-// view holds the configuration in force, the registrations and gossip messages of the
+// view holds the configuration in force, the registrations and gossiped states of the
 // other VMs, and the rate limiter that depends on them.
 type view struct {
 	clock        bergamotgrade.Clock
@@ -204,25 +206,27 @@
 	peers := make(map[string]gossip.Peer, len(v.members))
 	for id, m := range v.members {
 		if id != v.self {
-			peers[id] = gossip.Peer{Address: m.InnerAddress, DataCentre: m.DataCentre}
+			peers[id] = gossip.Peer{Address: m.InnerAddress, DataCentre: m.DataCentre, Weight: m.Cores}
 		}
 	}
 	return peers
 }
 
-// recordMessage records the gossip message of a peer and returns the number of live VMs
+// recordReport records the report about a data centre and returns the number of live VMs
 // that take callers' requests, with this VM counted as one.
-func (v *view) recordMessage(message gossip.Message) (callers int) {
+func (v *view) recordReport(report gossip.Report) (callers int) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
-	v.peers[message.VMID] = peer{message: message, receivedAt: now}
-	if message.Callers {
-		v.limiter.SetPeerCounts(now, message.VMID, message.Incarnation, message.Admitted, message.AllAdmitted)
+	for _, state := range report.VMs {
+		if known := v.peers[state.VMID]; known.Incarnation <= state.Incarnation {
+			v.peers[state.VMID] = peer{VMState: state, receivedAt: now}
+		}
 	}
+	v.limiter.SetGroupCounts(now, report.DataCentre, report.HubID, report.HubIncarnation, report.Callers, report.Admitted, report.AllAdmitted)
 	callers = 1
 	for _, p := range v.peers {
-		if p.message.Callers && p.messageWithin(now, peerTimeout) {
+		if p.Callers && p.listedWithin(now, peerTimeout) {
 			callers++
 		}
 	}
@@ -242,10 +246,10 @@
 	var newer, others []string
 	for id, p := range v.peers {
 		m, ok := v.members[id]
-		if !ok || !p.messageWithin(now, peerTimeout) {
+		if !ok || !p.listedWithin(now, peerTimeout) {
 			continue
 		}
-		if p.message.Version > own {
+		if p.Version > own {
 			newer = append(newer, m.InnerAddress)
 		} else {
 			others = append(others, m.InnerAddress)
@@ -351,8 +355,8 @@
 		}
 		now := v.clock.Now()
 		for id, p := range v.peers {
-			if p.messageWithin(now, peerTimeout) && !p.message.Leaving {
-				consider(id, p.message.Incarnation, p.message.Runner)
+			if p.listedWithin(now, peerTimeout) && !p.Leaving {
+				consider(id, p.Incarnation, p.Runner)
 			}
 		}
 		if vmID != "" {
@@ -375,11 +379,11 @@
 	}
 	now := v.clock.Now()
 	p, found := v.peers[vmID]
-	if found && p.message.Incarnation > incarnation {
+	if found && p.Incarnation > incarnation {
 		return false
 	}
-	if found && p.message.Incarnation == incarnation && p.messageWithin(now, peerTimeout) {
-		return !p.message.Leaving
+	if found && p.Incarnation == incarnation && p.listedWithin(now, peerTimeout) {
+		return !p.Leaving
 	}
 	if now.Sub(v.startedAt) < startupGrace {
 		return true
--- a/fleet.go
+++ b/fleet.go
@@ -208,4 +208,6 @@
 	ResultRetention time.Duration
 	// MemoryBytes is the process's memory limit.
 	MemoryBytes int64
+	// Cores is the VM's share of a core, or its number of cores; zero if unknown.
+	Cores float64
 }
--- /dev/null
+++ b/gossip/constants.go
@@ -0,0 +1,46 @@
+package gossip
+
+import "time"
+
+const (
+	// statusInterval is the longest pause between two statuses of a VM.
+	statusInterval = 200 * time.Millisecond
+	// statusTimeout is how long a hub counts a VM as alive after its last status; it
+	// exceeds two intervals, so that a lost datagram does no harm.
+	statusTimeout = 450 * time.Millisecond
+	// coalesceDelay is how long changes are collected into one message.
+	coalesceDelay = 3 * time.Millisecond
+	// digestInterval is the longest pause between two digests of a hub.
+	digestInterval = 150 * time.Millisecond
+	// slowInterval is the pause between two digests to a VM that has another primary hub.
+	slowInterval = 300 * time.Millisecond
+	// fullInterval is the pause between two digests, or two statuses, with all counts.
+	fullInterval = time.Second
+	// hubsPerDataCentre is the number of hubs that a VM reports to: messages still arrive
+	// while one of them is down.
+	hubsPerDataCentre = 2
+	// hubTimeout is how long a hub may omit a VM that reports to it until the VM turns to
+	// another hub; hubRetryInterval is the time until it tries the failed one again.
+	hubTimeout       = 500 * time.Millisecond
+	hubRetryInterval = 3 * time.Second
+	// localDatagramsPerSecond bounds the datagrams that a hub sends to the VMs that have it
+	// as primary hub, remoteDatagramsPerSecond those to hubs of other data centres, where
+	// traffic costs more, and statusesPerSecond the statuses of a VM. In small fleets every
+	// change is sent at once.
+	localDatagramsPerSecond  = 400
+	remoteDatagramsPerSecond = 240
+	statusesPerSecond        = 50
+	// datagramBurst and statusBurst are how many of them may be sent at once.
+	datagramBurst = 128
+	statusBurst   = 20
+	// maxForwardBytes bounds a datagram of several forwarded digests, so that it fits into
+	// one packet at the MTU of an ordinary network.
+	maxForwardBytes = 1400
+	// maxDatagramBytes is the size of the receive buffer.
+	maxDatagramBytes = 64 << 10
+	// recordRetention is how long a hub keeps the counts of a silent VM.
+	recordRetention = time.Minute
+	// maxSnapshots bounds the sent statuses that a VM remembers; digests refer to statuses
+	// that are less than a second old.
+	maxSnapshots = 128
+)
--- /dev/null
+++ b/gossip/hub.go
@@ -0,0 +1,189 @@
+package gossip
+
+import (
+	"maps"
+	"net"
+	"reflect"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// hub adds up the statuses of the VMs that report to this VM. It does no I/O; the current
+// time is an argument.
+type hub struct {
+	dataCentre  string
+	hubID       string
+	incarnation int64
+
+	sequence uint64
+	records  map[string]*hubRecord
+	// admitted counts the requests that the VMs have admitted since the hub knows them.
+	admitted map[string]uint64
+
+	roster          []VMState
+	rosterVersion   uint64
+	rosterChangedAt time.Time
+	audiences       [audienceCount]audienceState
+}
+
+// audience is a set of VMs that get the same digests.
+type audience int
+
+const (
+	// localVMs are the VMs that report to the hub, remoteHubs those of other data centres.
+	localVMs audience = iota
+	remoteHubs
+	audienceCount
+)
+
+// audienceState is what decides which parts a digest may omit.
+type audienceState struct {
+	counts recentCounts
+	// fullRequested is set if the next digest has to hold the roster and all counts.
+	fullRequested bool
+}
+
+// hubRecord is the last status of one VM.
+type hubRecord struct {
+	status     Status
+	receivedAt time.Time
+	// address is where the VM's statuses come from; nil for this VM itself.
+	address *net.UDPAddr
+	// admitted holds the last known counts of the VM; nil until it has sent all of them.
+	admitted map[string]uint64
+}
+
+func newHub(dataCentre, hubID string, incarnation int64) *hub {
+	return &hub{dataCentre: dataCentre, hubID: hubID, incarnation: incarnation, records: map[string]*hubRecord{}, admitted: map[string]uint64{}}
+}
+
+// record applies a status. changed means that the totals or the roster differ; joined means
+// that the hub had no recent status of this process.
+func (h *hub) record(now time.Time, status Status, from *net.UDPAddr) (changed, joined bool) {
+	record, known := h.records[status.VM.VMID]
+	if known && !record.status.stamp().before(status.stamp()) {
+		return false, false
+	}
+	if !known {
+		record = &hubRecord{}
+		h.records[status.VM.VMID] = record
+	}
+	joined = !known || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
+	changed = joined || record.status.VM != status.VM ||
+		!slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
+	if known && record.status.VM.Incarnation < status.VM.Incarnation && record.admitted != nil {
+		record.admitted = map[string]uint64{}
+	}
+	if h.addCounts(record, status) {
+		changed = true
+	}
+	record.status, record.receivedAt, record.address = status, now, from
+	if joined {
+		h.requestFull(localVMs)
+		h.requestFull(remoteHubs)
+	}
+	return changed, joined
+}
+
+// addCounts adds the requests that the VM has admitted since its last status to the totals.
+// The first complete counts are the baseline: what the VM admitted before is unknown to all
+// hubs that start now.
+func (h *hub) addCounts(record *hubRecord, status Status) (changed bool) {
+	if record.admitted == nil {
+		if status.AllAdmitted {
+			record.admitted = maps.Clone(status.Admitted)
+			if record.admitted == nil {
+				record.admitted = map[string]uint64{}
+			}
+		}
+		return false
+	}
+	for team, count := range status.Admitted {
+		if before := record.admitted[team]; count > before {
+			h.admitted[team] += count - before
+			record.admitted[team] = count
+			changed = true
+		}
+	}
+	return changed
+}
+
+// requestFull makes the next digest for the audience hold the roster and all counts.
+func (h *hub) requestFull(to audience) { h.audiences[to].fullRequested = true }
+
+// active reports whether VMs report to this hub.
+func (h *hub) active(now time.Time) bool {
+	for id, record := range h.records {
+		switch silence := now.Sub(record.receivedAt); {
+		case silence <= statusTimeout:
+			return true
+		case silence > recordRetention:
+			delete(h.records, id)
+		}
+	}
+	return false
+}
+
+// digest returns the totals of the live VMs for an audience, and their batch runs by VM. The
+// caller sets the limits.
+func (h *hub) digest(now time.Time, to audience) (digest Digest, batchRuns []bergamotgrade.BatchRuns) {
+	h.sequence++
+	digest = Digest{DataCentre: h.dataCentre, HubID: h.hubID, Incarnation: h.incarnation, Sequence: h.sequence}
+	var live []*hubRecord
+	for _, record := range h.records {
+		if now.Sub(record.receivedAt) <= statusTimeout {
+			live = append(live, record)
+		}
+	}
+	slices.SortFunc(live, func(a, b *hubRecord) int { return strings.Compare(a.status.VM.VMID, b.status.VM.VMID) })
+	load, suspects := map[string]ServerLoad{}, map[string]int{}
+	roster := make([]VMState, 0, len(live))
+	for _, record := range live {
+		roster = append(roster, record.status.VM)
+		digest.Seen = append(digest.Seen, record.status.Sequence)
+		for _, server := range record.status.Load {
+			total := load[server.ServerID]
+			load[server.ServerID] = ServerLoad{ServerID: server.ServerID, Online: total.Online + server.Online, Batch: total.Batch + server.Batch}
+			if server.Batch > 0 {
+				batchRuns = append(batchRuns, bergamotgrade.BatchRuns{VMID: record.status.VM.VMID, ServerID: server.ServerID, Runs: server.Batch})
+			}
+		}
+		for _, serverID := range record.status.Suspects {
+			suspects[serverID]++
+		}
+	}
+	digest.Load = slices.Collect(maps.Values(load))
+	for serverID, count := range suspects {
+		digest.Suspects = append(digest.Suspects, ServerCount{serverID, count})
+	}
+	if !reflect.DeepEqual(roster, h.roster) {
+		h.roster, h.rosterChangedAt = roster, now
+		h.rosterVersion++
+	}
+	digest.RosterVersion = h.rosterVersion
+	state := &h.audiences[to]
+	digest.Admitted, digest.AllAdmitted = state.counts.trim(now, maps.Clone(h.admitted), state.fullRequested)
+	if digest.AllAdmitted || now.Sub(h.rosterChangedAt) < slowInterval {
+		digest.Roster = h.roster
+	}
+	state.fullRequested = false
+	return digest, batchRuns
+}
+
+// subscribers returns the addresses of the live VMs that report to this hub from elsewhere:
+// those that have it as primary hub, and the others.
+func (h *hub) subscribers(now time.Time) (primary, secondary []*net.UDPAddr) {
+	for _, record := range h.records {
+		switch {
+		case record.address == nil || now.Sub(record.receivedAt) > statusTimeout:
+		case record.status.Primary:
+			primary = append(primary, record.address)
+		default:
+			secondary = append(secondary, record.address)
+		}
+	}
+	return primary, secondary
+}
--- /dev/null
+++ b/gossip/hub_test.go
@@ -0,0 +1,229 @@
+package gossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+)
+
+var testStart = time.Unix(1000, 0)
+
+// simulatedVM is a VM of TestHubsInSimulation with its true load and counts.
+type simulatedVM struct {
+	state    VMState
+	sequence uint64
+	load     int
+	admitted uint64
+	choice   *hubChoice
+	hub      *hub
+	tracker  *tracker
+	downTo   time.Time
+	// load and counts of the other VMs as the digests tell.
+	seenLoad  int
+	seenCount int64
+}
+
+// hubSimulation runs the pure parts of gossip of one data centre over a network that loses
+// datagrams, while VMs are killed and restarted.
+type hubSimulation struct {
+	random *rand.Rand
+	now    time.Time
+	vms    []*simulatedVM
+}
+
+func newHubSimulation(seed uint64, vms int) *hubSimulation {
+	s := &hubSimulation{random: rand.New(rand.NewPCG(seed, seed)), now: testStart}
+	for i := range vms {
+		s.vms = append(s.vms, &simulatedVM{})
+		s.restart(i)
+	}
+	return s
+}
+
+func (s *hubSimulation) restart(i int) {
+	id := fmt.Sprintf("vm%02d", i)
+	before := s.vms[i].state.Incarnation
+	s.vms[i] = &simulatedVM{
+		state:  VMState{VMID: id, Incarnation: before + 1, Callers: true},
+		choice: newHubChoice(id), hub: newHub("a", id, before+1), tracker: newTracker(id, before+1, "a"),
+	}
+}
+
+func (s *hubSimulation) up(i int) bool { return !s.now.Before(s.vms[i].downTo) }
+func (s *hubSimulation) lost() bool    { return s.random.IntN(50) == 0 }
+
+// step advances the time by 10 ms: VMs report every 200 ms or at random, hubs send digests
+// every 100 ms.
+func (s *hubSimulation) step(number int) {
+	s.now = s.now.Add(10 * time.Millisecond)
+	var candidates []peer
+	for i, vm := range s.vms {
+		candidates = append(candidates, peer{id: vm.state.VMID, weight: float64(len(s.vms) - i/3)})
+	}
+	sortCandidates(candidates)
+	for i, vm := range s.vms {
+		if s.up(i) && ((number+i)%20 == 0 || s.random.IntN(20) == 0) {
+			s.report(vm, candidates)
+		}
+	}
+	for i, vm := range s.vms {
+		if s.up(i) && (number+i)%10 == 0 && vm.hub.active(s.now) {
+			digest, _ := vm.hub.digest(s.now, localVMs)
+			for j, receiver := range s.vms {
+				if s.up(j) && (i == j || !s.lost()) {
+					receiver.receive(s.now, digest)
+				}
+			}
+		}
+	}
+}
+
+func (s *hubSimulation) report(vm *simulatedVM, candidates []peer) {
+	vm.load = s.random.IntN(5)
+	vm.admitted += uint64(s.random.IntN(3))
+	vm.sequence++
+	status := Status{VM: vm.state, Sequence: vm.sequence, Load: []ServerLoad{{ServerID: "e", Online: vm.load}}, Admitted: map[string]uint64{"team": vm.admitted}, AllAdmitted: true}
+	vm.tracker.sent(status)
+	for _, picked := range vm.choice.pick(s.now, candidates) {
+		for i, other := range s.vms {
+			if other.state.VMID == picked.id && s.up(i) && (other == vm || !s.lost()) {
+				other.hub.record(s.now, status, nil)
+			}
+		}
+	}
+}
+
+func (vm *simulatedVM) receive(now time.Time, digest Digest) {
+	report, listed, ok := vm.tracker.apply(now, digest)
+	if listed {
+		vm.choice.listed(now, digest.HubID)
+	}
+	if !ok || !report.Current {
+		return
+	}
+	vm.seenLoad = 0
+	for _, load := range report.Load {
+		vm.seenLoad += load.Online
+	}
+	if count, ok := report.Admitted["team"]; ok {
+		vm.seenCount = count
+	}
+}
+
+// After two hubs were killed at once, all VMs agree again within a second on the load of
+// the others, which changes no more.
+func TestHubsInSimulation(t *testing.T) {
+	for seed := range uint64(20) {
+		s := newHubSimulation(seed, 12)
+		for number := range 1000 {
+			if number == 300 || number == 500 {
+				for i := range s.vms {
+					if digests := s.vms[i].hub.sequence; digests > 5 && s.up(i) {
+						s.restart(i)
+						s.vms[i].downTo = s.now.Add(1500 * time.Millisecond)
+					}
+				}
+			}
+			s.step(number)
+		}
+		for i, vm := range s.vms {
+			vm.load = i
+		}
+		// The load stays: the statuses of the last second repeat it.
+		for number := range 120 {
+			s.now = s.now.Add(10 * time.Millisecond)
+			s.repeat(number)
+		}
+		total := 0
+		for _, vm := range s.vms {
+			total += vm.load
+		}
+		for _, vm := range s.vms {
+			qt.Assert(t, vm.seenLoad, qt.Equals, total-vm.load, qt.Commentf("seed %d, %s", seed, vm.state.VMID))
+		}
+	}
+}
+
+// repeat is a step in which no load changes.
+func (s *hubSimulation) repeat(number int) {
+	var candidates []peer
+	for i, vm := range s.vms {
+		candidates = append(candidates, peer{id: vm.state.VMID, weight: float64(len(s.vms) - i/3)})
+	}
+	sortCandidates(candidates)
+	for i, vm := range s.vms {
+		if (number+i)%20 != 0 {
+			continue
+		}
+		vm.sequence++
+		status := Status{VM: vm.state, Sequence: vm.sequence, Load: []ServerLoad{{ServerID: "e", Online: vm.load}}, Admitted: map[string]uint64{"team": vm.admitted}, AllAdmitted: true}
+		vm.tracker.sent(status)
+		for _, picked := range vm.choice.pick(s.now, candidates) {
+			for _, other := range s.vms {
+				if other.state.VMID == picked.id {
+					other.hub.record(s.now, status, nil)
+				}
+			}
+		}
+	}
+	for i, vm := range s.vms {
+		if (number+i)%10 == 0 && vm.hub.active(s.now) {
+			digest, _ := vm.hub.digest(s.now, localVMs)
+			for _, receiver := range s.vms {
+				receiver.receive(s.now, digest)
+			}
+		}
+	}
+}
+
+// A VM counts what the others admit exactly once, also if its statuses and those of others
+// reach the hub late, and its own requests never.
+func TestCountsExcludeOwn(t *testing.T) {
+	h, tracker := newHub("a", "hub", 1), newTracker("vm1", 1, "a")
+	now := testStart
+	report := func(vmID string, sequence, admitted uint64) {
+		status := Status{VM: VMState{VMID: vmID, Incarnation: 1, Callers: true}, Sequence: sequence, Admitted: map[string]uint64{"team": admitted}, AllAdmitted: true}
+		if vmID == "vm1" {
+			tracker.sent(status)
+		}
+		h.record(now, status, nil)
+	}
+	counted := func() int64 {
+		now = now.Add(fullInterval / 5)
+		digest, _ := h.digest(now, localVMs)
+		seen, listed, ok := tracker.apply(now, digest)
+		qt.Assert(t, ok && listed, qt.IsTrue)
+		qt.Assert(t, seen.Callers, qt.Equals, 1)
+		return seen.Admitted["team"]
+	}
+	report("vm1", 1, 10)
+	report("vm2", 1, 100)
+	first := counted()
+	report("vm1", 2, 15)
+	report("vm2", 2, 103)
+	qt.Assert(t, counted()-first, qt.Equals, int64(3))
+	report("vm1", 3, 40)
+	report("vm1", 2, 15) // late
+	report("vm2", 3, 103)
+	qt.Assert(t, counted()-first, qt.Equals, int64(3))
+	// A restarted VM counts from zero.
+	h.record(now, Status{VM: VMState{VMID: "vm2", Incarnation: 2, Callers: true}, Sequence: 1, Admitted: map[string]uint64{"team": 2}, AllAdmitted: true}, nil)
+	report("vm1", 4, 41)
+	qt.Assert(t, counted()-first, qt.Equals, int64(5))
+}
+
+// A VM that the hubs do not list must not use the share of the others: they do not receive
+// its counts.
+func TestUnlistedVMReachesNobody(t *testing.T) {
+	h, tracker := newHub("a", "hub", 1), newTracker("vm1", 1, "a")
+	h.record(testStart, Status{VM: VMState{VMID: "vm2", Callers: true}, Sequence: 1}, nil)
+	digest, _ := h.digest(testStart, localVMs)
+	report, listed, ok := tracker.apply(testStart, digest)
+	qt.Assert(t, ok, qt.IsTrue)
+	qt.Assert(t, listed, qt.IsFalse)
+	qt.Assert(t, report.VMs, qt.HasLen, 1)
+	qt.Assert(t, report.Callers, qt.Equals, 0)
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -1,22 +1,32 @@
-// Package gossip exchanges status messages between VMs in UDP datagrams: load by backend
-// server, counts of admitted requests, and the version of the configuration in force. A
-// later message makes up for a lost one: each message repeats all recent changes, and some
-// hold the full state.
+// Package gossip spreads the status of all VMs in UDP datagrams: load by backend server,
+// counts of admitted requests, and the version of the configuration in force. Each VM
+// reports to two hubs of its data centre. A hub sends digests with the totals of its data
+// centre to the VMs that report to it and to the hubs of the other data centres, which
+// forward them. The number of datagrams of a VM therefore does not depend on the number of
+// VMs. A later message makes up for a lost one: each message repeats all recent changes,
+// and some hold the full state.
 package gossip
 
 import (
 	"bytes"
 
+	"github.com/cockroachdb/errors"
 	"github.com/vmihailenco/msgpack/v5"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// The first byte of each message in a datagram tells its type.
+const (
+	tagStatus = 's'
+	tagDigest = 'd'
 )
 
-// Message is the status of one VM.
-type Message struct {
+// VMState is what the other VMs have to know of one VM.
+type VMState struct {
 	VMID string
 	// Incarnation is the start time of the process in Unix nanoseconds.
 	Incarnation int64
-	// Sequence increases with each message of an incarnation.
-	Sequence uint64
 	// Version is the version of the configuration in force; zero for none.
 	Version int64
 	// Callers is set on VMs that take callers' requests.
@@ -27,6 +37,15 @@
 	Leaving bool
 	// StoreUnreachable is set while the VM cannot reach the platform's store.
 	StoreUnreachable bool
+}
+
+// Status is the message of one VM to its hubs.
+type Status struct {
+	VM VMState
+	// Sequence increases with each status of an incarnation.
+	Sequence uint64
+	// Primary is set in the statuses to the hub that the VM wants to hear from often.
+	Primary bool
 	// Load lists the VM's requests in flight by backend server.
 	Load []ServerLoad
 	// Suspects lists backend servers that have recently failed requests of the VM.
@@ -45,10 +64,54 @@
 	Batch    int
 }
 
-// Encode encodes the message for a datagram. Fields are encoded by position, which keeps
-// the datagram small; new fields must be added at the end.
-func Encode(message Message) ([]byte, error) {
+// Digest is the message of a hub: the totals of the VMs of its data centre.
+type Digest struct {
+	DataCentre string
+	HubID      string
+	// Incarnation and Sequence order the digests of one hub.
+	Incarnation int64
+	Sequence    uint64
+	// RosterVersion increases whenever the roster changes. Most digests omit the roster.
+	RosterVersion uint64
+	Roster        []VMState
+	// Seen holds, in the order of the roster, the sequence of the last status of each VM
+	// that the totals include.
+	Seen     []uint64
+	Load     []ServerLoad
+	Suspects []ServerCount
+	// Limits lists the VMs that have to end batch runs, each with the number that may remain.
+	Limits []bergamotgrade.BatchRuns
+	// Admitted counts the requests that the hub has seen its VMs admit, by team. Most
+	// digests omit the counts that have not changed recently.
+	Admitted    map[string]uint64
+	AllAdmitted bool
+}
+
+// ServerCount is a number of VMs by backend server.
+type ServerCount struct {
+	ServerID string
+	Count    int
+}
+
+// stamp orders the messages of one process: by incarnation, then by sequence.
+type stamp struct {
+	incarnation int64
+	sequence    uint64
+}
+
+// before reports whether the stamp is older than the other.
+func (s stamp) before(other stamp) bool {
+	return s.incarnation < other.incarnation || (s.incarnation == other.incarnation && s.sequence < other.sequence)
+}
+
+func (s Status) stamp() stamp { return stamp{s.VM.Incarnation, s.Sequence} }
+func (d Digest) stamp() stamp { return stamp{d.Incarnation, d.Sequence} }
+
+// encode encodes a message for a datagram. Fields are encoded by position, which keeps the
+// datagram small; new fields must be added at the end.
+func encode(tag byte, message any) ([]byte, error) {
 	var buffer bytes.Buffer
+	buffer.WriteByte(tag)
 	encoder := msgpack.NewEncoder(&buffer)
 	encoder.UseArrayEncodedStructs(true)
 	encoder.UseCompactInts(true)
@@ -56,9 +119,18 @@
 	return buffer.Bytes(), err
 }
 
-// Decode decodes the first message in data and returns its size in bytes.
-func Decode(data []byte) (message Message, size int, err error) {
-	reader := bytes.NewReader(data)
-	err = msgpack.NewDecoder(reader).Decode(&message)
+// decode decodes the first message in data, a *Status or a *Digest, and returns its size in
+// bytes.
+func decode(data []byte) (message any, size int, err error) {
+	switch {
+	case len(data) > 0 && data[0] == tagStatus:
+		message = &Status{}
+	case len(data) > 0 && data[0] == tagDigest:
+		message = &Digest{}
+	default:
+		return nil, 0, errors.New("datagram holds no message of a known type")
+	}
+	reader := bytes.NewReader(data[1:])
+	err = msgpack.NewDecoder(reader).Decode(message)
 	return message, len(data) - reader.Len(), err
 }
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -4,26 +4,54 @@
 	"testing"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bergamotgrade/bergamotgrade"
 )
 
 func TestEncodeDecode(t *testing.T) {
-	message := Message{
-		VMID: "front-a-1", Incarnation: 1700000000000000000, Sequence: 9, Version: 7, Callers: true, StoreUnreachable: true,
+	status := &Status{
+		VM:       VMState{VMID: "front-a-1", Incarnation: 1700000000000000000, Version: 7, Callers: true, StoreUnreachable: true},
+		Sequence: 9, Primary: true,
 		Load:     []ServerLoad{{ServerID: "i-1", Online: 3, Batch: 2}, {ServerID: "i-2", Online: 1}},
 		Suspects: []string{"i-9"},
 		Admitted: map[string]uint64{"team": 12345},
 	}
-	data, err := Encode(message)
+	data, err := encode(tagStatus, status)
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, len(data) < 100, qt.IsTrue, qt.Commentf("%d bytes", len(data)))
-	decoded, size, err := Decode(append(data, data...))
+	digest := &Digest{
+		DataCentre: "a", HubID: "front-a-1", Incarnation: 1, Sequence: 2, RosterVersion: 3, Roster: []VMState{status.VM}, Seen: []uint64{9},
+		Load: status.Load, Suspects: []ServerCount{{ServerID: "i-9", Count: 1}}, Limits: []bergamotgrade.BatchRuns{{VMID: "v", ServerID: "i-1", Runs: 1}},
+		Admitted: status.Admitted, AllAdmitted: true,
+	}
+	second, err := encode(tagDigest, digest)
+	qt.Assert(t, err, qt.IsNil)
+	decoded, size, err := decode(append(append([]byte{}, data...), second...))
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, size, qt.Equals, len(data))
-	qt.Assert(t, decoded, qt.DeepEquals, message)
+	qt.Assert(t, decoded, qt.DeepEquals, status)
+	decoded, size, err = decode(second)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, size, qt.Equals, len(second))
+	qt.Assert(t, decoded, qt.DeepEquals, digest)
 }
 
+// No datagram makes a VM panic, and whatever decodes can be applied.
 func FuzzDecode(f *testing.F) {
-	data, _ := Encode(Message{VMID: "vm", Load: []ServerLoad{{ServerID: "i"}}})
-	f.Add(data)
-	f.Fuzz(func(_ *testing.T, data []byte) { _, _, _ = Decode(data) })
+	status, _ := encode(tagStatus, Status{VM: VMState{VMID: "vm"}, Load: []ServerLoad{{ServerID: "i"}}})
+	digest, _ := encode(tagDigest, Digest{HubID: "vm", Roster: []VMState{{VMID: "vm"}}, Seen: []uint64{1, 2}})
+	f.Add(status)
+	f.Add(digest)
+	f.Fuzz(func(_ *testing.T, data []byte) {
+		message, _, err := decode(data)
+		if err != nil {
+			return
+		}
+		switch m := message.(type) {
+		case *Status:
+			newHub("a", "hub", 1).record(testStart, *m, nil)
+		case *Digest:
+			newTracker("vm", 0, "a").apply(testStart, *m)
+		}
+	})
 }
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -9,35 +9,18 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-)
+	"golang.org/x/time/rate"
 
-const (
-	// heartbeatInterval is the longest pause between two messages to a peer.
-	heartbeatInterval = 250 * time.Millisecond
-	// coalesceDelay is how long changes are collected into one message.
-	coalesceDelay = 3 * time.Millisecond
-	// maxDatagramBytes is the size of the receive buffer.
-	maxDatagramBytes = 64 << 10
-	// partnersPerDataCentre is the number of VMs of another data centre to which a VM sends
-	// directly. With four, messages still arrive while two of them have failed and the link
-	// to a third is down.
-	partnersPerDataCentre = 4
-	// localDatagramsPerSecond and remoteDatagramsPerSecond bound the datagrams that a VM
-	// sends within its data centre and to the others. Engines are used mainly from their own
-	// data centre, so load must be current there; traffic between data centres costs more.
-	localDatagramsPerSecond  = 250
-	remoteDatagramsPerSecond = 120
-	// datagramBurst is the number of datagrams that may be sent at once: one message to
-	// each VM of the largest data centre.
-	datagramBurst = 128
+	"github.com/bergamotgrade/bergamotgrade"
 )
 
-// Peer is the gossip address and the data centre of a VM.
+// Peer is a VM of the fleet as gossip needs it.
 type Peer struct {
 	// Address is host:port.
 	Address    string
 	DataCentre string
+	// Weight is the VM's strength; the strongest VMs of a data centre are its hubs.
+	Weight float64
 }
 
 // peer is a Peer with its id and its resolved address.
@@ -45,141 +28,361 @@
 	id         string
 	address    *net.UDPAddr
 	dataCentre string
+	weight     float64
+}
+
+// Config holds the parameters and dependencies of a Node.
+type Config struct {
+	VMID        string
+	Incarnation int64
+	// Self is this VM's own address, data centre and weight.
+	Self Peer
+	// Status returns this VM's current status with all its counts, without a sequence.
+	Status func() Status
+	// Receive is called with the report of each newer digest.
+	Receive func(Report)
+	// Preempt returns the batch runs that VMs of this data centre have to end, as limits:
+	// it is called with the batch runs of its VMs.
+	Preempt func(runs []bergamotgrade.BatchRuns) []bergamotgrade.BatchRuns
+	Metrics *expvar.Map
+	Log     *slog.Logger
 }
 
-// Node sends this VM's status to its peers and receives theirs. It sends to all VMs of its
-// data centre and to some VMs of each other data centre, which forward the message there.
+// Node reports this VM's status to the hubs of its data centre, receives digests, and acts
+// as a hub while other VMs report to it.
 type Node struct {
+	config        Config
 	conn          *net.UDPConn
-	dataCentre    string
-	vmID          string
-	status        func() Message
-	receive       func(Message)
-	metrics       *expvar.Map
-	log           *slog.Logger
-	local, remote *statusSender
-	forwarder     *forwarder
+	statusLimiter *rate.Limiter
+	localLimiter  *rate.Limiter
+	remoteLimiter *rate.Limiter
+	// statusTriggers is signalled when this VM's status has changed, localTriggers when the
+	// VMs that report to this hub have to hear of a change, remoteTriggers when the hubs of
+	// other data centres have to.
+	statusTriggers, localTriggers, remoteTriggers chan struct{}
 
 	mu       sync.Mutex
 	peers    map[string]peer
 	sequence uint64
-	// latest holds the stamp of the latest message of each peer; messages that arrive out
-	// of order are dropped.
-	latest map[string]messageStamp
-}
-
-// messageStamp orders the messages of one VM: by incarnation, then by sequence.
-type messageStamp struct {
-	incarnation int64
-	sequence    uint64
-}
-
-// before reports whether the stamp is older than the other.
-func (s messageStamp) before(other messageStamp) bool {
-	return s.incarnation < other.incarnation || (s.incarnation == other.incarnation && s.sequence < other.sequence)
+	counts   recentCounts
+	choice   *hubChoice
+	hub      *hub
+	tracker  *tracker
+	relayed  *relayed
+	// reportedTo holds the hubs of the last status; new ones get all counts.
+	reportedTo []string
+	// remoteTargets holds the addresses of the last digest to other data centres; new ones
+	// get the roster and all counts.
+	remoteTargets map[string]bool
+	// slowSentAt is when the last digest to VMs with another primary hub was sent.
+	slowSentAt time.Time
 }
 
-// New returns a node that listens at the address of self. status returns this VM's current
-// status; receive is called with each newer message of a peer.
-func New(vmID string, self Peer, status func() Message, receive func(Message), metrics *expvar.Map, log *slog.Logger) (*Node, error) {
-	local, err := net.ResolveUDPAddr("udp4", self.Address)
+// New returns a node that listens at the address of config.Self.
+func New(config Config) (*Node, error) {
+	address, err := net.ResolveUDPAddr("udp4", config.Self.Address)
 	if err != nil {
 		return nil, err
 	}
-	conn, err := net.ListenUDP("udp4", local)
+	conn, err := net.ListenUDP("udp4", address)
 	if err != nil {
 		return nil, err
 	}
-	n := &Node{
-		conn: conn, vmID: vmID, dataCentre: self.DataCentre, status: status, receive: receive, metrics: metrics, log: log,
-		peers: map[string]peer{}, latest: map[string]messageStamp{},
-	}
-	n.local, n.remote = newStatusSender(n, localDatagramsPerSecond), newStatusSender(n, remoteDatagramsPerSecond)
-	n.forwarder = newForwarder(n)
-	return n, nil
+	return &Node{
+		config: config, conn: conn,
+		statusLimiter:  rate.NewLimiter(statusesPerSecond, statusBurst),
+		localLimiter:   rate.NewLimiter(localDatagramsPerSecond, datagramBurst),
+		remoteLimiter:  rate.NewLimiter(remoteDatagramsPerSecond, datagramBurst),
+		statusTriggers: make(chan struct{}, 1), localTriggers: make(chan struct{}, 1), remoteTriggers: make(chan struct{}, 1),
+		peers: map[string]peer{}, choice: newHubChoice(config.VMID),
+		hub:     newHub(config.Self.DataCentre, config.VMID, config.Incarnation),
+		tracker: newTracker(config.VMID, config.Incarnation, config.Self.DataCentre), relayed: newRelayed(),
+	}, nil
 }
 
-// SetPeers replaces the peers, given by VM id. Peers whose address does not resolve are
+// SetPeers replaces the other VMs, given by VM id. Peers whose address does not resolve are
 // logged and left out.
 func (n *Node) SetPeers(addresses map[string]Peer) {
 	peers := make(map[string]peer, len(addresses))
 	for id, p := range addresses {
 		parsed, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
-			n.log.Warn("peer address does not resolve; sending it no gossip", "vm", id, "address", p.Address, "cause", err.Error())
+			n.config.Log.Warn("peer address does not resolve; sending it no gossip", "vm", id, "address", p.Address, "cause", err.Error())
 			continue
 		}
-		peers[id] = peer{id: id, address: parsed, dataCentre: p.DataCentre}
+		peers[id] = peer{id: id, address: parsed, dataCentre: p.DataCentre, weight: p.Weight}
 	}
-	local, remote := selectTargets(n.vmID, n.dataCentre, peers)
 	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.peers = peers
-	n.mu.Unlock()
-	n.local.setTargets(local)
-	n.remote.setTargets(remote)
-	n.forwarder.setPeers(local)
-}
-
-// selectTargets returns the peers in the VM's data centre, and the VM's partners in each of
-// the other data centres: the peers with the highest rendezvous hash scores.
-func selectTargets(vmID, dataCentre string, peers map[string]peer) (local, remote []peer) {
-	others := map[string][]peer{}
-	for _, p := range peers {
-		if p.dataCentre == dataCentre {
-			local = append(local, p)
-		} else {
-			others[p.dataCentre] = append(others[p.dataCentre], p)
-		}
-	}
-	for _, candidates := range others {
-		slices.SortFunc(candidates, func(a, b peer) int {
-			if partnerScore(vmID, a.id) > partnerScore(vmID, b.id) {
-				return -1
-			}
-			return 1
-		})
-		remote = append(remote, candidates[:min(partnersPerDataCentre, len(candidates))]...)
-	}
-	return local, remote
 }
 
-func partnerScore(vmID, partnerID string) uint64 { return xxhash.Sum64String(vmID + ">" + partnerID) }
+// Trigger schedules a status. It never blocks.
+func (n *Node) Trigger() { signal(n.statusTriggers) }
 
-// Trigger schedules a message with this VM's current status. It never blocks.
-func (n *Node) Trigger() {
-	n.local.trigger()
-	n.remote.trigger()
+func signal(triggers chan<- struct{}) {
+	select {
+	case triggers <- struct{}{}:
+	default:
+	}
 }
 
-// RunSender sends and forwards messages until the context ends.
+// candidates returns the VMs of the data centre in the order in which they are chosen as
+// hubs, without those that are leaving. The caller holds the lock.
+func (n *Node) candidates(dataCentre string) []peer {
+	var candidates []peer
+	leaving := n.tracker.leaving()
+	for _, p := range n.peers {
+		if p.dataCentre == dataCentre && !leaving[p.id] {
+			candidates = append(candidates, p)
+		}
+	}
+	if dataCentre == n.config.Self.DataCentre {
+		candidates = append(candidates, peer{id: n.config.VMID, dataCentre: dataCentre, weight: n.config.Self.Weight})
+	}
+	sortCandidates(candidates)
+	return candidates
+}
+
+// RunSender sends statuses and digests until the context ends.
 func (n *Node) RunSender(ctx context.Context) {
 	var senders sync.WaitGroup
-	senders.Go(func() { n.local.run(ctx) })
-	senders.Go(func() { n.remote.run(ctx) })
-	senders.Go(func() { n.forwarder.run(ctx) })
+	senders.Go(func() { n.runStatuses(ctx) })
+	senders.Go(func() { n.runDigests(ctx, n.localTriggers, n.sendLocalDigest) })
+	senders.Go(func() { n.runDigests(ctx, n.remoteTriggers, n.sendRemoteDigest) })
 	senders.Wait()
 }
 
-// nextMessage returns this VM's current status with the next sequence number.
-func (n *Node) nextMessage() Message {
-	message := n.status()
+// runStatuses reports this VM's status after each change and at each statusInterval.
+func (n *Node) runStatuses(ctx context.Context) {
+	heartbeat := time.NewTimer(0)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heartbeat.C:
+		case <-n.statusTriggers:
+			time.Sleep(coalesceDelay)
+		}
+		if n.statusLimiter.Wait(ctx) != nil {
+			return
+		}
+		select {
+		case <-n.statusTriggers:
+		default:
+		}
+		n.reportStatus()
+		heartbeat.Reset(statusInterval)
+	}
+}
+
+// reportStatus sends one status to the hubs.
+func (n *Node) reportStatus() {
+	status := n.config.Status()
 	n.mu.Lock()
-	defer n.mu.Unlock()
+	now := time.Now()
+	hubs := n.choice.pick(now, n.candidates(n.config.Self.DataCentre))
 	n.sequence++
-	message.Sequence = n.sequence
-	return message
+	status.Sequence = n.sequence
+	n.tracker.sent(status)
+	hasNewHub := false
+	ids := make([]string, 0, len(hubs))
+	for _, h := range hubs {
+		ids = append(ids, h.id)
+		hasNewHub = hasNewHub || !slices.Contains(n.reportedTo, h.id)
+	}
+	n.reportedTo = ids
+	status.Admitted, status.AllAdmitted = n.counts.trim(now, status.Admitted, hasNewHub)
+	n.mu.Unlock()
+	for i, h := range hubs {
+		status.Primary = i == 0
+		if h.id == n.config.VMID {
+			n.recordStatus(now, status, nil)
+			continue
+		}
+		data, err := encode(tagStatus, status)
+		if err != nil {
+			n.config.Log.Error("gossip status cannot be encoded; not sent", "cause", err.Error())
+			return
+		}
+		n.send(data, []*net.UDPAddr{h.address})
+	}
+}
+
+// recordStatus applies a status as a hub.
+func (n *Node) recordStatus(now time.Time, status Status, from *net.UDPAddr) {
+	n.mu.Lock()
+	changed, joined := n.hub.record(now, status, from)
+	var full [][]byte
+	if joined && from != nil {
+		full = n.relayed.full()
+	}
+	n.mu.Unlock()
+	for _, data := range full {
+		n.send(data, []*net.UDPAddr{from})
+	}
+	if changed {
+		signal(n.localTriggers)
+		signal(n.remoteTriggers)
+	}
+}
+
+// runDigests sends digests with send after each trigger and at each digestInterval while
+// VMs report to this VM.
+func (n *Node) runDigests(ctx context.Context, triggers <-chan struct{}, send func(ctx context.Context)) {
+	heartbeat := time.NewTimer(digestInterval)
+	defer heartbeat.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-heartbeat.C:
+		case <-triggers:
+			time.Sleep(coalesceDelay)
+		}
+		n.mu.Lock()
+		active := n.hub.active(time.Now())
+		n.mu.Unlock()
+		if !active {
+			heartbeat.Reset(time.Hour) // the next status triggers a digest
+			continue
+		}
+		select {
+		case <-triggers:
+		default:
+		}
+		send(ctx)
+		heartbeat.Reset(digestInterval)
+	}
+}
+
+// sendLocalDigest applies this hub's digest to this VM and sends it, with the digests of
+// other data centres, to the VMs that report to it. It waits until the sending is within
+// the limit.
+func (n *Node) sendLocalDigest(ctx context.Context) {
+	n.mu.Lock()
+	now := time.Now()
+	digest, runs := n.hub.digest(now, localVMs)
+	n.mu.Unlock()
+	// The limits depend on the totals, which this VM takes over first.
+	n.applyDigest(now, digest)
+	if len(runs) > 0 {
+		digest.Limits = n.config.Preempt(runs)
+		n.applyLimits(digest)
+	}
+	data, err := encode(tagDigest, digest)
+	if err != nil {
+		n.config.Log.Error("gossip digest cannot be encoded; not sent", "cause", err.Error())
+		return
+	}
+	n.mu.Lock()
+	primary, secondary := n.hub.subscribers(now)
+	datagrams := pack(data, n.relayed.take(now, n.tracker, true))
+	var slowDatagrams [][]byte
+	if digest.Roster != nil || now.Sub(n.slowSentAt) >= slowInterval {
+		n.slowSentAt = now
+		slowDatagrams = pack(data, n.relayed.take(now, n.tracker, false))
+	}
+	n.mu.Unlock()
+	for _, datagram := range datagrams {
+		n.send(datagram, primary)
+	}
+	for _, datagram := range slowDatagrams {
+		n.send(datagram, secondary)
+	}
+	n.wait(ctx, n.localLimiter, len(primary)*len(datagrams))
+}
+
+// sendRemoteDigest sends this hub's digest to the hubs of the other data centres. It waits
+// until the sending is within the limit.
+func (n *Node) sendRemoteDigest(ctx context.Context) {
+	n.mu.Lock()
+	now := time.Now()
+	remote := n.remoteHubs(now)
+	targets := make(map[string]bool, len(remote))
+	for _, address := range remote {
+		targets[address.String()] = true
+		if !n.remoteTargets[address.String()] {
+			n.hub.requestFull(remoteHubs)
+		}
+	}
+	n.remoteTargets = targets
+	digest, _ := n.hub.digest(now, remoteHubs)
+	n.mu.Unlock()
+	data, err := encode(tagDigest, digest)
+	if err != nil {
+		n.config.Log.Error("gossip digest cannot be encoded; not sent", "cause", err.Error())
+		return
+	}
+	n.send(data, remote)
+	n.wait(ctx, n.remoteLimiter, len(remote))
+}
+
+// wait waits until the datagrams are within the limit, but not longer than for a burst.
+func (n *Node) wait(ctx context.Context, limiter *rate.Limiter, datagrams int) {
+	// An error means that the context has ended, which the caller sees by itself.
+	_ = limiter.WaitN(ctx, min(datagrams, datagramBurst))
+}
+
+// remoteHubs returns the addresses of the hubs of the other data centres: those whose
+// digests arrive, and if these are too few, the other VMs there in turn. The caller holds
+// the lock.
+func (n *Node) remoteHubs(now time.Time) []*net.UDPAddr {
+	dataCentres := map[string]bool{}
+	for _, p := range n.peers {
+		if p.dataCentre != n.config.Self.DataCentre {
+			dataCentres[p.dataCentre] = true
+		}
+	}
+	var addresses []*net.UDPAddr
+	for dataCentre := range dataCentres {
+		hubs := n.tracker.hubsOf(now, dataCentre)
+		candidates := n.candidates(dataCentre)
+		found := 0
+		for _, candidate := range candidates {
+			if found < hubsPerDataCentre && slices.Contains(hubs, candidate.id) {
+				addresses = append(addresses, candidate.address)
+				found++
+			}
+		}
+		turn := int(now.UnixMilli()/hubTimeout.Milliseconds()) * hubsPerDataCentre
+		for i := range candidates {
+			candidate := candidates[(turn+i)%len(candidates)]
+			if found < hubsPerDataCentre && !slices.Contains(hubs, candidate.id) {
+				addresses = append(addresses, candidate.address)
+				found++
+			}
+		}
+	}
+	return addresses
 }
 
-// send sends the datagram to the peers.
-func (n *Node) send(data []byte, to []peer) {
-	for _, p := range to {
+// pack joins the messages into datagrams of at most maxForwardBytes, unless one message
+// alone is larger.
+func pack(first []byte, others [][]byte) [][]byte {
+	datagrams := [][]byte{slices.Clone(first)}
+	for _, message := range others {
+		last := len(datagrams) - 1
+		if len(datagrams[last])+len(message) <= maxForwardBytes {
+			datagrams[last] = append(datagrams[last], message...)
+			continue
+		}
+		datagrams = append(datagrams, slices.Clone(message))
+	}
+	return datagrams
+}
+
+// send sends the datagram to the addresses.
+func (n *Node) send(data []byte, to []*net.UDPAddr) {
+	for _, address := range to {
 		// An unreachable peer is detected by the absence of its own messages.
-		if _, err := n.conn.WriteToUDP(data, p.address); err != nil {
-			n.metrics.Add("send_failed", 1)
+		if _, err := n.conn.WriteToUDP(data, address); err != nil {
+			n.config.Metrics.Add("send_failed", 1)
 		}
 	}
-	n.metrics.Add("sent", int64(len(to)))
-	n.metrics.Add("sent_bytes", int64(len(to)*len(data)))
+	n.config.Metrics.Add("sent", int64(len(to)))
+	n.config.Metrics.Add("sent_bytes", int64(len(to)*len(data)))
 }
 
 // RunReceiver receives the messages of peers until the context ends.
@@ -194,7 +397,7 @@
 				return
 			}
 			// An ICMP error from an unreachable peer is returned here; the socket still works.
-			n.metrics.Add("receive_failed", 1)
+			n.config.Metrics.Add("receive_failed", 1)
 			time.Sleep(coalesceDelay)
 			continue
 		}
@@ -202,35 +405,68 @@
 	}
 }
 
-// handleDatagram handles one datagram: one message of its sender, or several messages that
-// another VM of the data centre forwards.
+// handleDatagram handles the messages of one datagram.
 func (n *Node) handleDatagram(data []byte, from *net.UDPAddr) {
 	for len(data) > 0 {
-		message, size, err := Decode(data)
-		if err != nil || message.VMID == "" {
-			n.metrics.Add("undecodable", 1)
+		message, size, err := decode(data)
+		if err != nil {
+			n.config.Metrics.Add("undecodable", 1)
 			return
 		}
 		raw := data[:size]
 		data = data[size:]
-		if message.VMID == n.vmID {
-			continue
-		}
-		stamp := messageStamp{message.Incarnation, message.Sequence}
-		n.mu.Lock()
-		sender, known := n.peers[message.VMID]
-		isNewer := n.latest[message.VMID].before(stamp)
-		if isNewer {
-			n.latest[message.VMID] = stamp
-		}
-		n.mu.Unlock()
-		if direct := !known || sender.address.IP.Equal(from.IP) && sender.address.Port == from.Port; !direct {
-			n.forwarder.markForwarded(message.VMID, stamp)
-		} else if isNewer && known && sender.dataCentre != n.dataCentre {
-			n.forwarder.add(message.VMID, stamp, raw)
+		now := time.Now()
+		switch m := message.(type) {
+		case *Status:
+			if m.VM.VMID != "" && m.VM.VMID != n.config.VMID {
+				n.recordStatus(now, *m, from)
+			}
+		case *Digest:
+			if m.HubID == "" || m.HubID == n.config.VMID {
+				continue
+			}
+			if n.applyDigest(now, *m) && m.DataCentre != n.config.Self.DataCentre {
+				n.relay(now, *m, raw)
+			}
 		}
-		if isNewer {
-			n.receive(message)
+	}
+}
+
+// applyDigest hands the report of a digest over. It returns false for a digest that is not
+// newer than the last one.
+func (n *Node) applyDigest(now time.Time, digest Digest) bool {
+	n.mu.Lock()
+	isNewer := n.tracker.isNewer(digest)
+	report, listed, ok := n.tracker.apply(now, digest)
+	if listed {
+		n.choice.listed(now, digest.HubID)
+	}
+	n.mu.Unlock()
+	if ok {
+		n.config.Receive(report)
+	}
+	return isNewer
+}
+
+// applyLimits hands over the limits of this hub's own digest.
+func (n *Node) applyLimits(digest Digest) {
+	limits := map[string]int{}
+	for _, limit := range digest.Limits {
+		if limit.VMID == n.config.VMID {
+			limits[limit.ServerID] = limit.Runs
 		}
 	}
+	if len(limits) > 0 {
+		n.config.Receive(Report{DataCentre: digest.DataCentre, Limits: limits})
+	}
+}
+
+// relay queues a digest of another data centre for the VMs that report to this one.
+func (n *Node) relay(now time.Time, digest Digest, raw []byte) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.hub.active(now) {
+		n.relayed.add(digest, raw)
+		signal(n.localTriggers)
+	}
 }
--- a/gossip/recent_counts.go
+++ b/gossip/recent_counts.go
@@ -2,13 +2,9 @@
 
 import "time"
 
-const (
-	// countRepeatPeriod is the shortest time for which a changed count is repeated; several
-	// messages are sent in it.
-	countRepeatPeriod = 400 * time.Millisecond
-	// fullCountsInterval is the pause between two messages with all counts.
-	fullCountsInterval = 500 * time.Millisecond
-)
+// countRepeatPeriod is the shortest time for which a changed count is repeated; several
+// messages are sent in it, also to VMs that have another primary hub.
+const countRepeatPeriod = 3 * slowInterval
 
 // recentCounts removes from messages the counts that have not changed recently.
 type recentCounts struct {
@@ -19,23 +15,21 @@
 	currentAt         time.Time
 }
 
-// trim returns the message with the counts that have changed since the
-// previous snapshot, or with all counts once per fullCountsInterval.
-func (r *recentCounts) trim(now time.Time, message Message) Message {
-	all := message.Admitted
+// trim returns the counts that have changed since the previous snapshot, or all counts
+// once per fullInterval and if forced. It keeps the given map.
+func (r *recentCounts) trim(now time.Time, counts map[string]uint64, force bool) (recent map[string]uint64, all bool) {
 	if now.Sub(r.currentAt) >= countRepeatPeriod {
-		r.previous, r.current, r.currentAt = r.current, all, now
+		r.previous, r.current, r.currentAt = r.current, counts, now
 	}
-	if now.Sub(r.fullSentAt) >= fullCountsInterval {
+	if force || now.Sub(r.fullSentAt) >= fullInterval {
 		r.fullSentAt = now
-		message.AllAdmitted = true
-		return message
+		return counts, true
 	}
-	message.Admitted = map[string]uint64{}
-	for team, count := range all {
+	recent = map[string]uint64{}
+	for team, count := range counts {
 		if count != r.previous[team] {
-			message.Admitted[team] = count
+			recent[team] = count
 		}
 	}
-	return message
+	return recent, false
 }
--- a/limit/fleet_limiter.go
+++ b/limit/fleet_limiter.go
@@ -1,28 +1,32 @@
 package limit
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
 const (
-	// peerTimeout is the time after its last message for which a VM counts as
-	// reachable; VMs send several messages in that time.
-	peerTimeout = 700 * time.Millisecond
+	// groupTimeout is the time after its last report for which the VMs of a data centre
+	// count as reachable; several reports arrive in that time.
+	groupTimeout = 700 * time.Millisecond
+	// groupRetention is how long the counts of a silent data centre are kept.
+	groupRetention = time.Minute
 	// noRefillRetryDelay is the Retry-After of a bucket that will not refill.
 	noRefillRetryDelay = time.Second
 )
 
-// FleetLimiter limits each team to its rate and burst over all VMs together. VMs
-// send each other their counts of admitted requests; each VM subtracts the requests
+// FleetLimiter limits each team to its rate and burst over all VMs together. The VMs of
+// each data centre report their counts of admitted requests; each VM subtracts the requests
 // of the others from its own copy of a team's bucket. A VM that does not receive the
 // counts of all others uses only the fraction of the rate that belongs to itself and
 // to the VMs whose counts it receives, so that all groups of a network partition
 // together stay within the rate.
 type FleetLimiter struct {
 	teams map[string]*fleetTeam
-	peers map[string]*fleetPeer
+	// groups holds the other VMs by data centre.
+	groups map[string]*fleetGroup
 	// vmCount is the number of VMs that admit requests, this VM included.
 	vmCount int
 	// appliedShare is the fraction of the limits that the buckets have now.
@@ -35,16 +39,53 @@
 	admitted uint64
 }
 
-type fleetPeer struct {
+// fleetGroup holds what the other VMs of one data centre have admitted.
+type fleetGroup struct {
+	// vms is the number of VMs whose counts the last report includes.
+	vms        int
+	receivedAt time.Time
+	// admitted counts the requests that were subtracted from the buckets, by team.
+	admitted map[string]int64
+	// streams holds the counts by reporter.
+	streams map[string]*countStream
+}
+
+// countStream holds the counts of one reporter.
+type countStream struct {
 	incarnation int64
-	admitted    map[string]uint64
 	receivedAt  time.Time
+	// offset is the difference between the group's counts and the ones of the stream, by
+	// team; start is the difference for teams that the first counts did not contain.
+	offset, start map[string]int64
+}
+
+// newCountStream returns the stream of a reporter that is new to the group. Its counts began
+// when it started. If another reporter has counted the same requests, or if it is unknown
+// when they were admitted, they are only the baseline.
+func newCountStream(incarnation int64, group *fleetGroup, counts map[string]int64, baseline bool) *countStream {
+	counted := &countStream{incarnation: incarnation, offset: map[string]int64{}, start: maps.Clone(group.admitted)}
+	if baseline {
+		for team, count := range counts {
+			counted.offset[team] = group.admitted[team] - count
+		}
+	}
+	return counted
+}
+
+// hasReporter reports whether the counts of any reporter still arrive.
+func (g *fleetGroup) hasReporter(now time.Time) bool {
+	for _, counted := range g.streams {
+		if now.Sub(counted.receivedAt) <= groupTimeout {
+			return true
+		}
+	}
+	return false
 }
 
 // NewFleetLimiter returns a limiter without peers. Its buckets start empty, because a
 // restarted VM has lost its counts of earlier requests.
 func NewFleetLimiter() *FleetLimiter {
-	return &FleetLimiter{teams: map[string]*fleetTeam{}, peers: map[string]*fleetPeer{}, vmCount: 1}
+	return &FleetLimiter{teams: map[string]*fleetTeam{}, groups: map[string]*fleetGroup{}, vmCount: 1}
 }
 
 // SetVMCount sets the number of VMs that admit requests, this VM included.
@@ -67,39 +108,48 @@
 	}
 }
 
-// SetPeerCounts applies a peer's counts of admitted requests by team. The counts only
-// increase within one incarnation of the peer. all is set if the counts cover
-// every team; partial counts of a peer without earlier counts are ignored.
-func (f *FleetLimiter) SetPeerCounts(now time.Time, vmID string, incarnation int64, admitted map[string]uint64, all bool) {
-	peer, ok := f.peers[vmID]
-	switch {
-	case !ok && !all:
-		return
-	case !ok:
-		// The first counts are the baseline: requests that the peer admitted
-		// before its first message are not subtracted.
-		peer = &fleetPeer{incarnation: incarnation, admitted: map[string]uint64{}}
-		for name, count := range admitted {
-			peer.admitted[name] = count
+// SetGroupCounts applies the counts of admitted requests by team that the other VMs of a
+// data centre have, as a reporter sends them; vms is the number of VMs. Counts are
+// comparable only within one incarnation of a reporter, which has to begin with the counts
+// of all teams. If several reporters count the same VMs, the highest counts hold.
+func (f *FleetLimiter) SetGroupCounts(now time.Time, dataCentre, reporter string, incarnation int64, vms int, counts map[string]int64, all bool) {
+	group, known := f.groups[dataCentre]
+	if !known {
+		group = &fleetGroup{admitted: map[string]int64{}, streams: map[string]*countStream{}}
+	}
+	counted, ok := group.streams[reporter]
+	if !ok || counted.incarnation < incarnation {
+		if !all {
+			return
 		}
-		f.peers[vmID] = peer
-	case peer.incarnation > incarnation:
+		delete(group.streams, reporter)
+		counted = newCountStream(incarnation, group, counts, !known || group.hasReporter(now))
+		group.streams[reporter] = counted
+		f.groups[dataCentre] = group
+	}
+	if counted.incarnation > incarnation {
 		return
-	case peer.incarnation < incarnation:
-		peer.incarnation = incarnation
-		clear(peer.admitted)
 	}
-	peer.receivedAt = now
+	counted.receivedAt, group.receivedAt, group.vms = now, now, vms
+	for name, other := range group.streams {
+		if now.Sub(other.receivedAt) > groupRetention {
+			delete(group.streams, name)
+		}
+	}
 	f.resize(now)
-	for name, count := range admitted {
-		before := peer.admitted[name]
-		if count <= before {
+	for name, count := range counts {
+		offset, ok := counted.offset[name]
+		if !ok {
+			offset = counted.start[name]
+		}
+		admitted := count + offset
+		if admitted <= group.admitted[name] {
 			continue
 		}
-		peer.admitted[name] = count
 		if team, ok := f.teams[name]; ok {
-			team.bucket.Spend(now, float64(count-before))
+			team.bucket.Spend(now, float64(admitted-group.admitted[name]))
 		}
+		group.admitted[name] = admitted
 	}
 }
 
@@ -191,16 +241,16 @@
 }
 
 // VMCounts returns the number of reachable VMs and the number of all VMs, this VM
-// included. A VM is reachable if it sent a message within peerTimeout. The counts of
-// a peer that has sent none for a minute are deleted.
+// included. The VMs of a data centre are reachable if a report about them arrived within
+// groupTimeout. The counts of a data centre without reports for groupRetention are deleted.
 func (f *FleetLimiter) VMCounts(now time.Time) (reachable, total int) {
 	reachable = 1
-	for id, peer := range f.peers {
-		switch silence := now.Sub(peer.receivedAt); {
-		case silence <= peerTimeout:
-			reachable++
-		case silence > time.Minute:
-			delete(f.peers, id)
+	for id, group := range f.groups {
+		switch silence := now.Sub(group.receivedAt); {
+		case silence <= groupTimeout:
+			reachable += group.vms
+		case silence > groupRetention:
+			delete(f.groups, id)
 		}
 	}
 	return reachable, f.vmCount
--- a/limit/fleet_limiter_test.go
+++ b/limit/fleet_limiter_test.go
@@ -70,7 +70,7 @@
 		for to, other := range m.vms {
 			lost := m.random.IntN(20) == 0 || m.networkGroup(from) != m.networkGroup(to) || m.now.Before(vm.downUntil) || m.now.Before(other.downUntil)
 			if from != to && !lost {
-				other.limiter.SetPeerCounts(m.now, fmt.Sprint(from), vm.incarnation, vm.limiter.AdmittedCounts(), true)
+				other.limiter.SetGroupCounts(m.now, fmt.Sprint(from), fmt.Sprint(from), vm.incarnation, 1, signedCounts(vm.limiter.AdmittedCounts()), true)
 			}
 		}
 	}
@@ -165,14 +165,23 @@
 	f := NewFleetLimiter()
 	f.SetVMCount(now, 2)
 	f.SetTeams(now, map[string]bergamotgrade.FleetTeam{"team": team})
-	f.SetPeerCounts(now, "vm2", 1, map[string]uint64{"team": 500}, false)
+	f.SetGroupCounts(now, "vm2", "vm2", 1, 1, map[string]int64{"team": 500}, false)
 	reachable, _ := f.VMCounts(now)
 	qt.Assert(t, reachable, qt.Equals, 1)
-	f.SetPeerCounts(now, "vm2", 1, map[string]uint64{"team": 500}, true)
+	f.SetGroupCounts(now, "vm2", "vm2", 1, 1, map[string]int64{"team": 500}, true)
 	reachable, _ = f.VMCounts(now)
 	qt.Assert(t, reachable, qt.Equals, 2)
 	now = now.Add(500 * time.Millisecond)
 	before := f.Levels(now)["team"]
-	f.SetPeerCounts(now, "vm2", 1, map[string]uint64{"team": 503}, false)
+	f.SetGroupCounts(now, "vm2", "vm2", 1, 1, map[string]int64{"team": 503}, false)
 	qt.Assert(t, before-f.Levels(now)["team"], qt.Equals, 3.0)
 }
+
+// signedCounts returns the counts as a report has them.
+func signedCounts(counts map[string]uint64) map[string]int64 {
+	signed := make(map[string]int64, len(counts))
+	for team, count := range counts {
+		signed[team] = int64(count)
+	}
+	return signed
+}
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -28,11 +28,11 @@
 // Total returns the number of requests of all classes.
 func (l Load) Total() int { return l[Online] + l[Batch] }
 
-// peerReport is the latest load report of a peer.
+// peerReport is the latest load report of the other VMs of one data centre.
 type peerReport struct {
 	byServer map[string]Load
-	// suspects lists the servers that recently failed requests of the peer.
-	suspects   []string
+	// suspects counts the VMs whose requests a server recently failed, by server.
+	suspects   map[string]int
 	receivedAt time.Time
 }
 
@@ -42,7 +42,7 @@
 	ownLoad Load
 	// peerLoad is the sum of the loads in the current peer reports.
 	peerLoad Load
-	// suspectedBy counts the peers whose current reports list the server as suspect.
+	// suspectedBy counts the peers that list the server as suspect.
 	suspectedBy int
 	// failures counts consecutive failures since the last served request or ejection.
 	failures     int
@@ -63,7 +63,8 @@
 	servers    map[string]*serverState
 	// serverIDs holds the keys of servers in sorted order.
 	serverIDs []string
-	peers     map[string]*peerReport
+	// peers holds the reports by data centre.
+	peers map[string]*peerReport
 	// runTime is the moving average of the run time of served online requests.
 	runTime time.Duration
 }
@@ -113,14 +114,14 @@
 	return false
 }
 
-// UpdatePeer replaces a peer's report: its load by server and the servers that recently
-// failed its requests.
-func (sel *Selector) UpdatePeer(now time.Time, vmID string, byServer map[string]Load, suspects []string) {
-	if previous, ok := sel.peers[vmID]; ok {
+// UpdatePeers replaces the report of the other VMs of a data centre: their load by server
+// and the number of VMs that suspect a server.
+func (sel *Selector) UpdatePeers(now time.Time, dataCentre string, byServer map[string]Load, suspects map[string]int) {
+	if previous, ok := sel.peers[dataCentre]; ok {
 		sel.addReport(previous, -1)
 	}
 	report := &peerReport{byServer: byServer, suspects: suspects, receivedAt: now}
-	sel.peers[vmID] = report
+	sel.peers[dataCentre] = report
 	sel.addReport(report, 1)
 	sel.ExpirePeers(now)
 }
@@ -154,9 +155,9 @@
 			s.peerLoad[Batch] += sign * load[Batch]
 		}
 	}
-	for _, id := range report.suspects {
+	for id, count := range report.suspects {
 		if s, ok := sel.servers[id]; ok {
-			s.suspectedBy += sign
+			s.suspectedBy += sign * count
 		}
 	}
 }
@@ -333,29 +334,6 @@
 	}
 }
 
-// Preemptions returns the number of batch runs that this VM has to end at each server
-// with more requests than slots. If several VMs have batch runs at a server, the VMs end
-// theirs in the order of their ids, the lowest first, so that they don't all preempt for
-// the same online request.
-func (sel *Selector) Preemptions() map[string]int {
-	preemptions := map[string]int{}
-	for id, s := range sel.servers {
-		excess := min(s.total()-s.record.Slots, s.load(Batch))
-		if excess <= 0 || s.ownLoad[Batch] == 0 {
-			continue
-		}
-		for vmID, report := range sel.peers {
-			if vmID < sel.vmID {
-				excess -= report.byServer[id][Batch]
-			}
-		}
-		if excess > 0 {
-			preemptions[id] = min(excess, s.ownLoad[Batch])
-		}
-	}
-	return preemptions
-}
-
 // SlotUsage returns the number of slots, and of requests of the class, at the servers of
 // the service that accept new requests.
 func (sel *Selector) SlotUsage(service string, class Class) (slots, used int) {
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -33,14 +33,14 @@
 		d, _ := time.ParseDuration(f[1])
 		s.now = s.now.Add(d)
 		s.selector.ExpirePeers(s.now)
-	case "peer": // peer VM id=online/batch ... failed=id ...
-		var suspects []string
+	case "peer": // peer DATA-CENTRE id=online/batch ... failed=id ...
+		suspects := map[string]int{}
 		for _, field := range f[2:] {
 			if id, ok := strings.CutPrefix(field, "failed="); ok {
-				suspects = append(suspects, id)
+				suspects[id]++
 			}
 		}
-		s.selector.UpdatePeer(s.now, f[1], parseLoads(f[2:]), suspects)
+		s.selector.UpdatePeers(s.now, f[1], parseLoads(f[2:]), suspects)
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.selector.AddRequest(f[2], class(f[1]))
@@ -57,8 +57,10 @@
 		return s.spread(class(f[1]), count(f[1:]))
 	case "suspects":
 		return strings.Join(s.selector.Suspects(s.now), " ")
-	case "preemptions":
-		return formatCounts(s.selector.Preemptions())
+	case "excess":
+		return formatCounts(s.selector.ExcessBatch())
+	case "limits": // limits VM/id=runs ...: the runs that may remain of the given ones
+		return s.limits(f[1:])
 	case "expected": // expected AHEAD VMS: the expected wait
 		ahead, _ := strconv.Atoi(f[1])
 		vms, _ := strconv.Atoi(f[2])
@@ -67,6 +69,25 @@
 	return ""
 }
 
+// limits returns the limits of the given batch runs by the current excess.
+func (s *selectorScript) limits(fields []string) string {
+	var runs []bergamotgrade.BatchRuns
+	for _, field := range fields {
+		holder, count, _ := strings.Cut(field, "=")
+		vmID, serverID, _ := strings.Cut(holder, "/")
+		n, _ := strconv.Atoi(count)
+		runs = append(runs, bergamotgrade.BatchRuns{VMID: vmID, ServerID: serverID, Runs: n})
+	}
+	limits := []string{}
+	for _, limit := range LimitBatch(s.selector.ExcessBatch(), runs) {
+		limits = append(limits, fmt.Sprintf("%s/%s=%d", limit.VMID, limit.ServerID, limit.Runs))
+	}
+	if len(limits) == 0 {
+		return "none"
+	}
+	return strings.Join(limits, " ")
+}
+
 var outcomes = map[string]Outcome{"served": OutcomeServed, "failed": OutcomeFailed, "full": OutcomeFull, "left": OutcomeAborted}
 
 func class(name string) Class {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -344,7 +344,7 @@
 		qt.Check(t, err, qt.IsNil)
 	})
 	running.Wait() // an avoided server is used if the service has no other
-	scheduler.UpdatePeer("vm2", map[string]placement.Load{"a": {2, 0}}, nil, 2)
+	scheduler.UpdatePeers("there", map[string]placement.Load{"a": {2, 0}}, nil, 2)
 	running.Go(func() {
 		_, _ = scheduler.Acquire(ctx, SlotRequest{Service: "svc", Deadline: time.Now().Add(time.Minute)})
 	})
@@ -354,7 +354,7 @@
 		scheduler.mu.Unlock()
 	}
 	scheduler.mu.Lock()
-	scheduler.selector.UpdatePeer(time.Now(), "vm2", nil, nil)
+	scheduler.selector.UpdatePeers(time.Now(), "there", nil, nil)
 	scheduler.mu.Unlock()
 	_, _, ok := scheduler.AcquireBatch(ctx, "svc", nil, time.Now())
 	qt.Assert(t, ok, qt.IsFalse)
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -78,16 +79,24 @@
 	s.schedule()
 }
 
-// UpdatePeer replaces a peer's load by server and its suspects, the servers that recently
-// failed the peer; vms is the number of VMs that share the servers.
-func (s *Scheduler) UpdatePeer(vmID string, byServer map[string]placement.Load, suspects []string, vms int) {
+// UpdatePeers replaces the load by server of the other VMs of a data centre, and the number
+// of them that suspect a server; vms is the number of VMs that share the servers.
+func (s *Scheduler) UpdatePeers(dataCentre string, byServer map[string]placement.Load, suspects map[string]int, vms int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms
-	s.selector.UpdatePeer(s.clock.Now(), vmID, byServer, suspects)
+	s.selector.UpdatePeers(s.clock.Now(), dataCentre, byServer, suspects)
 	s.schedule()
 }
 
+// ExcessBatch returns the number of batch runs that the VMs of this data centre have to end
+// at each server.
+func (s *Scheduler) ExcessBatch() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.ExcessBatch()
+}
+
 // ExpirePeers drops the reports of peers whose gossip has stopped and starts waiting
 // requests that now get a slot.
 func (s *Scheduler) ExpirePeers() {
@@ -151,7 +160,7 @@
 	if q.Len() == 0 {
 		if server, ok := s.selector.Pick(now, criteria); ok {
 			slot := s.start(now, server, placement.Online)
-			s.preempt()
+			s.preemptOwn()
 			s.mu.Unlock()
 			s.onLoad()
 			return slot, nil
@@ -281,8 +290,8 @@
 	s.onLoad()
 }
 
-// schedule starts waiting requests that get a slot, preempts batch runs at overcommitted
-// servers and signals batchCapacity; the caller holds the lock.
+// schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
+// batchCapacity; the caller holds the lock.
 func (s *Scheduler) schedule() {
 	now := s.clock.Now()
 	started := false
@@ -306,7 +315,7 @@
 			started = true
 		}
 	}
-	s.preempt()
+	s.preemptOwn()
 	if started {
 		s.onLoad()
 	}
@@ -316,31 +325,40 @@
 	}
 }
 
-// preempt cancels batch runs at servers with more requests than slots, the runs with the
-// latest due time first; the caller holds the lock.
-func (s *Scheduler) preempt() {
+// preemptOwn ends batch runs at overcommitted servers where only this VM has batch runs. The
+// caller holds the lock.
+func (s *Scheduler) preemptOwn() {
 	if len(s.batch) == 0 {
 		return
 	}
-	preemptions := s.selector.Preemptions()
+	own := s.selector.OwnLoad()
+	for serverID, count := range s.selector.OwnPreemptions() {
+		s.limitBatch(serverID, own[serverID][placement.Batch]-count)
+	}
+}
+
+// LimitBatch ends batch runs of this VM until it has at most the given number of them at
+// each server.
+func (s *Scheduler) LimitBatch(limits map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for serverID, limit := range limits {
+		s.limitBatch(serverID, limit)
+	}
+}
+
+// limitBatch ends batch runs at the server, the ones with the latest due time first, until
+// the limit remains. The caller holds the lock.
+func (s *Scheduler) limitBatch(serverID string, limit int) {
+	var running []*Slot
 	for slot := range s.batch {
-		if slot.preempted {
-			preemptions[slot.server.ServerID]--
+		if slot.server.ServerID == serverID && !slot.preempted {
+			running = append(running, slot)
 		}
 	}
-	for id, count := range preemptions {
-		for ; count > 0; count-- {
-			var latest *Slot
-			for slot := range s.batch {
-				if slot.server.ServerID == id && !slot.preempted && (latest == nil || slot.due.After(latest.due)) {
-					latest = slot
-				}
-			}
-			if latest == nil {
-				break
-			}
-			latest.preempted = true
-			s.batch[latest](ErrPreempted)
-		}
+	slices.SortFunc(running, func(a, b *Slot) int { return b.due.Compare(a.due) })
+	for _, slot := range running[:max(0, len(running)-limit)] {
+		slot.preempted = true
+		s.batch[slot](ErrPreempted)
 	}
 }
