--- a/entry/node.go
+++ b/entry/node.go
@@ -90,20 +90,25 @@
 	}
 	n.headCache = jobs.NewHeadCache(log)
 	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
-	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, log)
+	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.headsUpToDate, log)
 	n.runner = jobs.NewRunner(jobs.Config{
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: n.backend,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
 	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, n.backend, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
-	for prefix, onChange := range map[string]func(map[string]bergamotgrade.Entry){
-		platform.OperatorPrefix: n.setOperatorEntries,
-		platform.ServerPrefix:   n.setServers,
-		memberPrefix:            n.setMembers,
-		jobs.HeadPrefix:         n.headCache.SetEntries,
+	for _, mirror := range []struct {
+		prefix   string
+		start    follow.Start
+		onChange func(map[string]bergamotgrade.Entry)
+	}{
+		// The buckets of the teams fill from the first configuration on.
+		{platform.OperatorPrefix, follow.StartAtOnce, n.setOperatorEntries},
+		{platform.ServerPrefix, follow.StartJoined, n.setServers},
+		{memberPrefix, follow.StartDiscovering, n.setMembers},
+		{jobs.HeadPrefix, follow.StartJoined, n.headCache.SetEntries},
 	} {
-		n.mirrors[prefix] = follow.NewMirror(n.kv, n.clock, prefix, n, onChange, log)
+		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, n, n.announceCopy(mirror.onChange), log)
 	}
 	n.registerGauges()
 	return n, nil
@@ -135,6 +140,7 @@
 		},
 		Admitted: n.view.admittedCounts(),
 		Suspects: n.scheduler.Suspects(),
+		Copies:   n.copyStates(),
 	}
 	for id, load := range n.scheduler.Load() {
 		status.Load = append(status.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
@@ -152,6 +158,11 @@
 		return // limits only
 	}
 	callers := n.view.recordReport(report)
+	for _, copied := range report.Copies {
+		if mirror, ok := n.mirrors[copied.Prefix]; ok && mirror.IsBehind(copied.ChangedAt, copied.ListedAt) {
+			mirror.Announced()
+		}
+	}
 	if report.Current {
 		byServer := make(map[string]placement.Load, len(report.Load))
 		for _, load := range report.Load {
@@ -176,6 +187,22 @@
 	return placement.LimitBatch(n.scheduler.ExcessBatch(), runs)
 }
 
+// headsUpToDate reports whether the heads of jobs had all changes up to maxAge ago.
+func (n *Node) headsUpToDate(maxAge time.Duration) bool {
+	return n.mirrors[jobs.HeadPrefix].UpToDate(maxAge)
+}
+
+// announceCopy returns onChange, with an announcement after each change if other VMs fetch
+// copies from this VM.
+func (n *Node) announceCopy(onChange func(map[string]bergamotgrade.Entry)) func(map[string]bergamotgrade.Entry) {
+	return func(entries map[string]bergamotgrade.Entry) {
+		onChange(entries)
+		if _, _, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable()); role != roleFollower {
+			n.announce()
+		}
+	}
+}
+
 // setOperatorEntries applies the configuration and the retirement order that the operator
 // has written to the store.
 func (n *Node) setOperatorEntries(entries map[string]bergamotgrade.Entry) {
@@ -373,13 +400,13 @@
 	n.membership.deregister(endCtx)
 }
 
-// runStoreProbe probes the store while this VM is the watcher of its data centre or does
-// not reach the store. Other VMs depend on the watcher, so a watcher has to detect quickly
+// runStoreProbe probes the store while this VM is the watcher of the fleet or does not
+// reach the store. Other VMs depend on the watcher, so a watcher has to detect quickly
 // that it no longer reaches the store. A VM that was cut off has to detect quickly that it
 // reaches the store again.
 func (n *Node) runStoreProbe(ctx context.Context) {
 	for bergamotgrade.Sleep(ctx, probeInterval) {
-		if _, hasWatcher := n.Watcher(); hasWatcher && !n.kv.Unreachable() {
+		if _, _, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable()); role != roleWatcher && !n.kv.Unreachable() {
 			continue
 		}
 		before := n.kv.Unreachable()
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -4,12 +4,15 @@
 	"context"
 	"encoding/json"
 	"net"
+	"slices"
 	"strconv"
+	"strings"
 
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/follow"
+	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/jobs"
 	"github.com/bergamotgrade/bergamotgrade/vm"
 )
@@ -26,12 +29,10 @@
 	methodBucketLevels = "levels"
 )
 
-// copyCall requests a copy of a prefix that is newer than a revision.
+// copyCall requests a copy of a prefix that is newer than a position.
 type copyCall struct {
-	Prefix string `json:"prefix"`
-	Above  int64  `json:"above"`
-	// Watch delays the answer until there is a newer copy or the long-poll wait is over.
-	Watch bool `json:"watch,omitempty"`
+	Prefix string          `json:"prefix"`
+	Than   follow.Position `json:"than"`
 }
 
 // resultsCall requests the stored results of a job from position From on.
@@ -48,14 +49,10 @@
 	switch method {
 	case methodCopy:
 		return vm.DecodeAndHandle(*params, func(call copyCall) any {
-			mirror, ok := n.mirrors[call.Prefix]
-			switch {
-			case !ok:
-				return follow.Copy{}
-			case call.Watch:
-				return mirror.AwaitChange(ctx, call.Above, follow.LongPollWait)
+			if mirror, ok := n.mirrors[call.Prefix]; ok {
+				return mirror.CopySince(call.Than)
 			}
-			return mirror.CopySince(call.Above)
+			return follow.Copy{}
 		})
 	case methodStore:
 		if n.kv.Unreachable() {
@@ -97,18 +94,45 @@
 	return results
 }
 
-// Watcher implements follow.Peers.
-func (n *Node) Watcher() (address string, ok bool) {
-	return n.view.watcher(n.settings.DataCentre, n.kv.Unreachable())
+// Source implements follow.Peers.
+func (n *Node) Source(prefix string) (follow.Source, bool) {
+	vmID, address, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable())
+	if role == roleWatcher {
+		return follow.Source{}, false
+	}
+	position, age := n.view.announced(vmID, prefix)
+	return follow.Source{Address: address, Position: position, Age: age}, true
+}
+
+// Joined implements follow.Peers.
+func (n *Node) Joined() bool { return n.view.hearsOthers() }
+
+// CopyFrom implements follow.Peers.
+func (n *Node) CopyFrom(ctx context.Context, address, prefix string, than follow.Position) (follow.Copy, error) {
+	return vm.Call[follow.Copy](ctx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Than: than})
 }
 
-// WatchVia implements follow.Peers.
-func (n *Node) WatchVia(ctx context.Context, address, prefix string, above int64) (follow.Copy, error) {
-	return vm.Call[follow.Copy](ctx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Above: above, Watch: true})
+// copyStates returns the copies that this VM announces: all of them if other VMs fetch from
+// it.
+func (n *Node) copyStates() []gossip.CopyState {
+	if _, _, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable()); role == roleFollower {
+		return nil
+	}
+	var states []gossip.CopyState
+	for prefix, mirror := range n.mirrors {
+		if position, age, ok := mirror.Announcement(); ok {
+			states = append(states, gossip.CopyState{
+				VMID: n.settings.VMID, Prefix: prefix, Revision: position.Revision, ChangedAt: position.ChangedAt,
+				ListedAt: position.ListedAt, AgeMs: age.Milliseconds(),
+			})
+		}
+	}
+	slices.SortFunc(states, func(a, b gossip.CopyState) int { return strings.Compare(a.Prefix, b.Prefix) })
+	return states
 }
 
 // FetchCopy implements follow.Peers.
-func (n *Node) FetchCopy(ctx context.Context, prefix string, above int64) (follow.Copy, bool) {
+func (n *Node) FetchCopy(ctx context.Context, prefix string, than follow.Position) (follow.Copy, bool) {
 	sources := n.view.copySources(maxCopyPeers)
 	if len(sources) == 0 {
 		// Without a list of registered VMs only the seed addresses are known.
@@ -120,9 +144,9 @@
 	}
 	for _, address := range sources {
 		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		copied, err := vm.Call[follow.Copy](callCtx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Above: above})
+		copied, err := vm.Call[follow.Copy](callCtx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Than: than})
 		cancel()
-		if err == nil && copied.Revision > above {
+		if err == nil && copied.Revision > than.Revision {
 			return copied, true
 		}
 	}
--- a/entry/view.go
+++ b/entry/view.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/follow"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/platform"
@@ -47,6 +48,15 @@
 	return p.listedWithin(now, watcherTimeout) && !p.Leaving && !p.StoreUnreachable
 }
 
+// copyID names a VM's copy of a prefix of the store.
+type copyID struct{ vmID, prefix string }
+
+// announcedCopy is the last announcement of a copy.
+type announcedCopy struct {
+	position follow.Position
+	upToDate time.Time
+}
+
 // view holds the configuration in force, the registrations and gossiped states of the
 // other VMs, and the rate limiter that depends on them.
 type view struct {
@@ -61,6 +71,7 @@
 	configuration     *bergamotgrade.FleetConfiguration
 	members           map[string]member
 	peers             map[string]peer
+	copies            map[copyID]announcedCopy
 	limiter           *limit.FleetLimiter
 	leaving           bool
 	levelFetchClaimed bool
@@ -72,7 +83,7 @@
 func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, log *slog.Logger) *view {
 	return &view{
 		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log,
-		members: map[string]member{}, peers: map[string]peer{}, limiter: limit.NewFleetLimiter(),
+		members: map[string]member{}, peers: map[string]peer{}, copies: map[copyID]announcedCopy{}, limiter: limit.NewFleetLimiter(),
 	}
 }
 
@@ -223,6 +234,13 @@
 			v.peers[state.VMID] = peer{VMState: state, receivedAt: now}
 		}
 	}
+	for _, copied := range report.Copies {
+		position := follow.Position{Revision: copied.Revision, ChangedAt: copied.ChangedAt, ListedAt: copied.ListedAt}
+		id, upToDate := copyID{copied.VMID, copied.Prefix}, now.Add(-time.Duration(copied.AgeMs)*time.Millisecond)
+		if upToDate.After(v.copies[id].upToDate) {
+			v.copies[id] = announcedCopy{position, upToDate}
+		}
+	}
 	v.limiter.SetGroupCounts(now, report.DataCentre, report.HubID, report.HubIncarnation, report.Callers, report.Admitted, report.AllAdmitted)
 	callers = 1
 	for _, p := range v.peers {
@@ -287,27 +305,85 @@
 	return address, ok
 }
 
-// watcher returns the inner address of the VM that watches the store for the data centre:
-// the live VM with the lowest id that reaches the store. ok is false if that is this VM or
-// if there is none.
-func (v *view) watcher(dataCentre string, storeUnreachable bool) (address string, ok bool) {
+// sourceRole is the part of a VM in the spreading of the store's changes.
+type sourceRole int
+
+const (
+	// roleFollower is a VM that fetches from the relay of its data centre.
+	roleFollower sourceRole = iota
+	// roleRelay is the VM of a data centre that fetches from the watcher.
+	roleRelay
+	// roleWatcher is the VM of the fleet that watches the store.
+	roleWatcher
+)
+
+// source returns the VM from which this VM receives changes of the store; the id is empty
+// if it has to watch the store itself. The watcher is the first live VM that reaches the
+// store, the relay the first live VM of its data centre, in the order of their strength.
+func (v *view) source(dataCentre string, storeUnreachable bool) (vmID, address string, role sourceRole) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	lowest := ""
+	own, registered := v.members[v.self]
+	if !registered {
+		own = member{VMID: v.self, DataCentre: dataCentre}
+	}
+	var watcher, relay member
 	if !storeUnreachable && !v.leaving {
-		lowest = v.self
+		watcher = own
+	}
+	if !v.leaving {
+		relay = own
 	}
 	now := v.clock.Now()
 	for id, p := range v.peers {
 		m, registered := v.members[id]
-		if !registered || m.DataCentre != dataCentre || !p.reachesStore(now) {
+		if !registered || p.Leaving || !p.listedWithin(now, watcherTimeout) {
 			continue
 		}
-		if lowest == "" || id < lowest {
-			lowest, address = id, m.InnerAddress
+		if !p.StoreUnreachable && m.precedes(watcher) {
+			watcher = m
+		}
+		if m.DataCentre == dataCentre && m.precedes(relay) {
+			relay = m
 		}
 	}
-	return address, lowest != v.self && lowest != ""
+	switch {
+	case watcher.VMID == v.self, watcher.VMID == "":
+		return "", "", roleWatcher
+	case relay.VMID == v.self, relay.VMID == "":
+		return watcher.VMID, watcher.InnerAddress, roleRelay
+	}
+	return relay.VMID, relay.InnerAddress, roleFollower
+}
+
+// precedes reports whether the VM comes before the other as watcher and relay: the stronger
+// one, and among equals the one with the lower hash.
+func (m member) precedes(other member) bool {
+	switch {
+	case other.VMID == "":
+		return true
+	case m.Cores != other.Cores:
+		return m.Cores > other.Cores
+	}
+	return xxhash.Sum64String(m.VMID) < xxhash.Sum64String(other.VMID)
+}
+
+// announced returns the last announcement of the VM's copy of the prefix.
+func (v *view) announced(vmID, prefix string) (position follow.Position, age time.Duration) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	copied, ok := v.copies[copyID{vmID, prefix}]
+	if !ok {
+		return follow.Position{}, 0
+	}
+	return copied.position, v.clock.Now().Sub(copied.upToDate)
+}
+
+// hearsOthers reports whether digests of hubs list other VMs.
+func (v *view) hearsOthers() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return len(v.peers) > 0
 }
 
 // claimLevelFetch returns true at most once, soon after the start: the caller then has to
@@ -367,7 +443,9 @@
 }
 
 // RunnerAlive implements jobs.Fleet. A process counts as dead if a newer process runs on
-// its VM, if it is leaving, or if its gossip has stopped and its lease has expired.
+// its VM, if it is leaving, if its lease has expired, or if it has been silent for
+// runnerTimeout while this VM hears of most others. The store decides between two VMs that
+// hold each other for dead.
 func (v *view) RunnerAlive(vmID string, incarnation int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -389,7 +467,26 @@
 		return true
 	}
 	m, registered := v.members[vmID]
-	return registered && m.Incarnation == incarnation
+	if !registered || m.Incarnation != incarnation {
+		return false
+	}
+	heardSince := v.startedAt
+	if found {
+		heardSince = p.receivedAt
+	}
+	return now.Sub(heardSince) < runnerTimeout || !v.hearsMost(now)
+}
+
+// hearsMost reports whether gossip lists most of the registered VMs as live. The caller
+// holds the lock.
+func (v *view) hearsMost(now time.Time) bool {
+	live := 0
+	for id, p := range v.peers {
+		if _, registered := v.members[id]; registered && p.listedWithin(now, peerTimeout) {
+			live++
+		}
+	}
+	return 2*(live+1) > len(v.members)
 }
 
 // configurationVersion returns the version of the configuration in force, or zero.
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -2,13 +2,17 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"io"
 	"log/slog"
+	"slices"
 	"testing"
+	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 )
 
@@ -49,3 +53,86 @@
 	v.setMembers(registrations(t, "vm2"))
 	qt.Assert(t, v.knowsMembers(), qt.IsTrue)
 }
+
+// reportOf returns a report that lists the VMs.
+func reportOf(vmIDs ...string) gossip.Report {
+	report := gossip.Report{DataCentre: "here", HubID: vmIDs[0], HubIncarnation: 1, AllAdmitted: true}
+	for _, id := range vmIDs {
+		report.VMs = append(report.VMs, gossip.VMState{VMID: id, Incarnation: 1})
+	}
+	return report
+}
+
+// The jobs of a silent VM are taken over before its lease expires, but not by a VM that is
+// cut off from most others: it would take over all jobs.
+func TestRunnerAlive(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	v := newView(clock, "vm1", 1, false, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	v.setMembers(registrations(t, "vm1", "vm2", "vm3", "vm4"))
+	v.recordReport(reportOf("vm2", "vm3", "vm4"))
+	clock.now = clock.now.Add(2 * time.Second)
+	v.recordReport(reportOf("vm2", "vm3"))
+	qt.Assert(t, v.RunnerAlive("vm4", 1), qt.IsTrue) // silent, but not for long enough
+	clock.now = clock.now.Add(time.Second)
+	v.recordReport(reportOf("vm2", "vm3"))
+	qt.Assert(t, v.RunnerAlive("vm4", 1), qt.IsFalse)
+	qt.Assert(t, v.RunnerAlive("vm2", 1), qt.IsTrue)
+	qt.Assert(t, v.RunnerAlive("vm2", 0), qt.IsFalse) // an earlier process
+	clock.now = clock.now.Add(time.Minute)
+	qt.Assert(t, v.RunnerAlive("vm2", 1), qt.IsTrue) // nobody is heard
+	v.setMembers(registrations(t, "vm1"))
+	qt.Assert(t, v.RunnerAlive("vm2", 1), qt.IsFalse) // the lease has expired
+}
+
+// The strongest VM that reaches the store watches it for the fleet; the strongest of each
+// other data centre relays its changes there.
+func TestSource(t *testing.T) {
+	clock := &manualClock{now: time.Unix(1000, 0)}
+	entries := map[string]bergamotgrade.Entry{}
+	for i, m := range []member{
+		{VMID: "a1", DataCentre: "a", Cores: 0.2}, {VMID: "a2", DataCentre: "a", Cores: 0.5},
+		{VMID: "b1", DataCentre: "b", Cores: 0.8}, {VMID: "b2", DataCentre: "b", Cores: 0.2},
+	} {
+		m.InnerAddress, m.Incarnation = "address-"+m.VMID, 1
+		value, err := json.Marshal(m)
+		qt.Assert(t, err, qt.IsNil)
+		entries[fmt.Sprint(i)] = bergamotgrade.Entry{Key: fmt.Sprint(i), Value: value}
+	}
+	sourceOf := func(self, dataCentre string, unreachable ...string) (string, sourceRole) {
+		v := newView(clock, self, 1, true, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		v.setMembers(entries)
+		report := reportOf("a1", "a2", "b1", "b2")
+		for i := range report.VMs {
+			report.VMs[i].StoreUnreachable = slices.Contains(unreachable, report.VMs[i].VMID)
+		}
+		v.recordReport(report)
+		vmID, _, role := v.source(dataCentre, slices.Contains(unreachable, self))
+		return vmID, role
+	}
+	for _, test := range []struct {
+		self, dataCentre string
+		unreachable      []string
+		source           string
+		role             sourceRole
+	}{
+		{"b1", "b", nil, "", roleWatcher},
+		{"b2", "b", nil, "b1", roleFollower},
+		{"a2", "a", nil, "b1", roleRelay},
+		{"a1", "a", nil, "a2", roleFollower},
+		// The watcher loses the store: the next one takes over, and the first becomes relay.
+		{"b1", "b", []string{"b1"}, "a2", roleRelay},
+		{"a2", "a", []string{"b1"}, "", roleWatcher},
+		{"b2", "b", []string{"b1"}, "b1", roleFollower},
+		// Nobody reaches the store.
+		{"a1", "a", []string{"a1", "a2", "b1", "b2"}, "", roleWatcher},
+	} {
+		source, role := sourceOf(test.self, test.dataCentre, test.unreachable...)
+		qt.Check(t, source, qt.Equals, test.source, qt.Commentf("%+v", test))
+		qt.Check(t, role, qt.Equals, test.role, qt.Commentf("%+v", test))
+	}
+}
+
+// manualClock is a clock that tests set.
+type manualClock struct{ now time.Time }
+
+func (c *manualClock) Now() time.Time { return c.now }
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -1,7 +1,8 @@
 // Package follow mirrors prefixes of the platform's key-value store in memory. A
-// mirror stays readable while the store is unreachable. In each data centre one VM, the
-// watcher, watches the store; the other VMs, its followers, receive the changes from it
-// by long polls.
+// mirror stays readable while the store is unreachable. One VM of the fleet watches the
+// store; one VM of each other data centre fetches the changes from it, and all others fetch
+// them from the VM of their data centre. Announcements of these VMs tell the others when
+// there is something to fetch, so nobody polls.
 package follow
 
 import (
@@ -23,21 +24,30 @@
 	// historyLostInterval is the shortest time between two restarts of all watches
 	// because the store discarded its history.
 	historyLostInterval = time.Second
-	// LongPollWait is how long a watcher holds a long poll of a follower, and
-	// longPollTimeout is how long the follower waits for the reply. A follower must
-	// detect a dead watcher well within the two seconds in which every VM has to know a
-	// change.
-	LongPollWait    = 800 * time.Millisecond
-	longPollTimeout = 1100 * time.Millisecond
-	// watcherBackoff is how long a follower sends no polls after its watcher failed.
-	watcherBackoff = 3 * time.Second
-	// watcherHandoverWait is how long a follower whose watcher cannot reach the store
-	// waits for the watcher to recover or be replaced before it watches the store
-	// itself. Gossip announces a replacement sooner than that, and if all followers
-	// turned to the store at the same time, the store would receive a burst of calls.
-	watcherHandoverWait = 300 * time.Millisecond
-	// watcherRetryInterval is the pause between two polls during that wait.
-	watcherRetryInterval = 100 * time.Millisecond
+	// fetchTimeout bounds a fetch from the source. Every VM has to know a change within two
+	// seconds, also if its source ends without a word.
+	fetchTimeout = 600 * time.Millisecond
+	// maxAnnouncementAge is the age up to which other VMs go by an announced copy. The calls
+	// of a slow store take a good part of a second; a source that has ended is found sooner,
+	// by gossip.
+	maxAnnouncementAge = 1500 * time.Millisecond
+	// sourceBackoff is how long a mirror goes without its source after it has failed.
+	sourceBackoff = 3 * time.Second
+	// sourceHandoverWait is how long a mirror whose source fails waits for it to recover or
+	// be replaced before it watches the store itself. Gossip names a replacement sooner
+	// than that, and if all VMs turned to the store at the same time, the store would
+	// receive a burst of calls.
+	sourceHandoverWait = 300 * time.Millisecond
+	// sourceCheckInterval is the pause between two looks at the source without a signal,
+	// sourceRetryInterval the one after a failure.
+	sourceCheckInterval = 250 * time.Millisecond
+	sourceRetryInterval = 50 * time.Millisecond
+	// joinTimeout is how long a starting VM waits until it hears of other VMs. Without the
+	// wait, all VMs of a fleet that starts would list the store.
+	joinTimeout = time.Second
+	// joinListInterval is the pause between two listings while the VM waits, of the prefix
+	// that tells it of the other VMs.
+	joinListInterval = 200 * time.Millisecond
 	// unreachableRetryWait is how long a mirror leaves it to the probes to detect that
 	// the store is reachable again before the mirror calls the store itself.
 	unreachableRetryWait = 1500 * time.Millisecond
@@ -68,12 +78,14 @@
 	kv     *MonitoredStore
 	clock  bergamotgrade.Clock
 	prefix string
+	start  Start
 	// onChange receives a new map of all entries after each change.
 	onChange func(map[string]bergamotgrade.Entry)
 	peers    Peers
 	log      *slog.Logger
-	// fetchRequested is signalled when a peer is known to have a newer copy.
-	fetchRequested chan struct{}
+	// fetchRequested is signalled when a peer is known to have a newer copy, announced when
+	// the source may have one.
+	fetchRequested, announced chan struct{}
 
 	mu       sync.Mutex
 	revision int64
@@ -84,8 +96,12 @@
 	listRevision int64
 	// watchesStore is set while this VM receives changes from the store itself.
 	watchesStore bool
-	// changed is closed and replaced on each change of the copy.
-	changed chan struct{}
+	// confirmedAt is when the copy was last known to be up to date.
+	confirmedAt time.Time
+	// changedAt is the revision of the copy at its last change.
+	changedAt int64
+	// removedAt is the revision of the copy at the last removal of an entry.
+	removedAt int64
 	// pendingRemoval holds the keys of entries that the store has removed, probably
 	// because their leases expired during an outage. The entries stay readable until
 	// the grace period ends.
@@ -99,31 +115,76 @@
 	// ListedAt is the revision of the last complete listing that this copy builds on.
 	ListedAt int64                 `json:"listed_at"`
 	Entries  []bergamotgrade.Entry `json:"entries,omitempty"`
-	// Keys lists the keys of all entries.
+	// Keys lists the keys of all entries, unless no entry was removed since the revision of
+	// the requesting VM.
 	Keys []string `json:"keys,omitempty"`
-	// Direct is set if the VM receives changes from the store itself.
-	Direct bool `json:"direct,omitempty"`
+	// KeysOmitted is set if Keys is not given.
+	KeysOmitted bool `json:"keys_omitted,omitempty"`
+}
+
+// Position is the state of a copy.
+type Position struct {
+	// Revision is the revision up to which the copy is complete.
+	Revision int64
+	// ChangedAt is the revision of the last change, ListedAt the one of the last complete
+	// listing.
+	ChangedAt, ListedAt int64
+}
+
+// newerThan reports whether a copy at the position has something that one at the other has
+// not.
+func (p Position) newerThan(other Position) bool {
+	return p.ChangedAt > other.Revision || p.ListedAt > other.ListedAt
+}
+
+// Source is the VM from which a mirror receives changes.
+type Source struct {
+	// Address is the inner address of the VM.
+	Address string
+	// Position is what the VM has announced, and Age how long ago its copy was up to date;
+	// zero if the VM has announced nothing.
+	Position Position
+	Age      time.Duration
 }
 
 // Peers fetches copies from the other VMs.
 type Peers interface {
-	// FetchCopy asks other VMs for a copy of the prefix newer than the revision; it returns
+	// FetchCopy asks other VMs for a copy of the prefix newer than the position; it returns
 	// false if none has one.
-	FetchCopy(ctx context.Context, prefix string, since int64) (Copy, bool)
-	// Watcher returns the address of the VM that watches the store for this data
-	// centre; false means that this VM has to watch the store itself.
-	Watcher() (address string, ok bool)
-	// WatchVia sends a long poll to the watcher for changes after the revision.
-	WatchVia(ctx context.Context, address, prefix string, since int64) (Copy, error)
+	FetchCopy(ctx context.Context, prefix string, than Position) (Copy, bool)
+	// Source returns the VM from which this VM receives changes of the prefix; false means
+	// that it has to watch the store itself.
+	Source(prefix string) (Source, bool)
+	// CopyFrom fetches a copy of the prefix newer than the position from the VM.
+	CopyFrom(ctx context.Context, address, prefix string, than Position) (Copy, error)
+	// Joined reports whether this VM hears of other VMs.
+	Joined() bool
 }
 
-// errNotWatching reports that the VM polled as the watcher does not watch the store.
-var errNotWatching = errors.New("the polled VM does not watch the store itself")
+// Start is the way in which a mirror gets its first copy.
+type Start int
+
+const (
+	// StartJoined waits until this VM hears of others, and fetches the copy from them.
+	StartJoined Start = iota
+	// StartDiscovering is for the prefix that tells of the other VMs: it is listed while the
+	// VM waits, from reads that may be seconds old.
+	StartDiscovering
+	// StartAtOnce lists the store.
+	StartAtOnce
+)
+
+// errSourceBehind reports that the source has an older copy than it has announced, as after
+// a restart.
+var errSourceBehind = errors.New("the source has an older copy than it has announced")
+
+// errSourceSilent reports that the source has announced nothing recently.
+var errSourceSilent = errors.New("the source has announced nothing recently")
 
 // NewMirror returns an empty mirror of the prefix; its Run methods keep it up to date.
-func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
+func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
-		kv: kv, clock: clock, prefix: prefix, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), changed: make(chan struct{}),
+		kv: kv, clock: clock, prefix: prefix, start: start, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
 		entries: map[string]bergamotgrade.Entry{}, pendingRemoval: map[string]bool{},
 	}
 }
@@ -136,56 +197,67 @@
 }
 
 // TriggerPeerFetch triggers a fetch of a newer copy from a peer.
-func (m *Mirror) TriggerPeerFetch() {
+func (m *Mirror) TriggerPeerFetch() { signal(m.fetchRequested) }
+
+// Announced tells the mirror that its source may have a newer copy. It never blocks.
+func (m *Mirror) Announced() { signal(m.announced) }
+
+func signal(channel chan<- struct{}) {
 	select {
-	case m.fetchRequested <- struct{}{}:
+	case channel <- struct{}{}:
 	default:
 	}
 }
 
-// CopySince returns this VM's copy without the entries that a VM at the given revision has
+// Announcement returns the position of the copy, and how long ago it was up to date; ok is
+// false if that is too long ago for other VMs to go by this one.
+func (m *Mirror) Announcement() (position Position, age time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	position = m.currentPosition()
+	now := m.clock.Now()
+	switch age = now.Sub(m.confirmedAt); {
+	case !m.loaded:
+		return position, 0, false
+	case m.watchesStore:
+		return position, m.kv.SinceSuccess(now), !m.kv.Unreachable()
+	default:
+		return position, age, age <= maxAnnouncementAge
+	}
+}
+
+// CopySince returns this VM's copy without the entries that a VM at the given position has
 // already; it has revision zero if there is nothing newer.
-func (m *Mirror) CopySince(since int64) Copy {
+func (m *Mirror) CopySince(than Position) Copy {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	copied := Copy{Direct: m.watchesStore && !m.kv.Unreachable()}
-	if !m.loaded || m.revision <= since {
-		return copied
+	if !m.loaded || !m.currentPosition().newerThan(than) {
+		return Copy{}
 	}
-	copied.Revision, copied.ListedAt = m.revision, m.listRevision
+	copied := Copy{Revision: m.revision, ListedAt: m.listRevision}
+	whole := than.Revision < m.listRevision || than.ListedAt < m.listRevision
+	copied.KeysOmitted = !whole && than.Revision > m.removedAt
 	for key, entry := range m.entries {
-		copied.Keys = append(copied.Keys, key)
-		if entry.Revision > since || since < m.listRevision {
+		if !copied.KeysOmitted {
+			copied.Keys = append(copied.Keys, key)
+		}
+		if whole || entry.Revision > than.Revision {
 			copied.Entries = append(copied.Entries, entry)
 		}
 	}
 	return copied
 }
 
-// AwaitChange waits until the mirror is newer than the revision and returns this VM's copy
-// without the entries up to the revision. It returns early if this VM stops watching the
-// store, when the wait is over or when the context ends.
-func (m *Mirror) AwaitChange(ctx context.Context, since int64, wait time.Duration) Copy {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	for {
-		stateChanged := m.kv.StateChanged()
-		m.mu.Lock()
-		changed := m.changed
-		waiting := m.watchesStore && m.revision <= since
-		m.mu.Unlock()
-		if !waiting || m.kv.Unreachable() {
-			return m.CopySince(since)
-		}
-		select {
-		case <-changed:
-		case <-stateChanged:
-		case <-timer.C:
-			return m.CopySince(since)
-		case <-ctx.Done():
-			return m.CopySince(since)
-		}
-	}
+// position returns the position of the copy.
+func (m *Mirror) position() Position {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.currentPosition()
+}
+
+// currentPosition returns the position of the copy. The caller holds the lock.
+func (m *Mirror) currentPosition() Position {
+	return Position{Revision: m.revision, ChangedAt: m.changedAt, ListedAt: m.listRevision}
 }
 
 // RunPeerFetches fetches newer copies from peers until the context ends: whenever a fetch
@@ -204,48 +276,49 @@
 				continue
 			}
 		}
-		m.mu.Lock()
-		since := m.revision
-		m.mu.Unlock()
-		if copied, ok := m.peers.FetchCopy(ctx, m.prefix, since); ok {
-			m.log.Info("fetched a newer copy of the store prefix from a peer", "prefix", m.prefix, "revision", copied.Revision, "own_revision", since)
+		than := m.position()
+		if copied, ok := m.peers.FetchCopy(ctx, m.prefix, than); ok {
+			m.log.Info("fetched a newer copy of the store prefix from a peer", "prefix", m.prefix, "revision", copied.Revision, "own_revision", than.Revision)
 			m.applyCopy(copied, m.dropEntry)
 		}
 	}
 }
 
-// Run keeps the mirror up to date until the context ends: by long polls to the watcher
-// of the data centre if another VM is the watcher, else by watches of the store.
+// Run keeps the mirror up to date until the context ends: from its source if it has one,
+// else by watches of the store.
 func (m *Mirror) Run(ctx context.Context) {
+	m.awaitJoin(ctx)
 	backoff, listed := minBackoff, false
-	var avoidUntil, notWatchingSince time.Time
+	var avoidUntil, failingSince time.Time
 	for ctx.Err() == nil {
-		m.awaitRecovery(ctx)
 		now := m.clock.Now()
-		if address, ok := m.peers.Watcher(); ok && listed && now.After(avoidUntil) {
-			err := m.watchVia(ctx, address)
+		if source, ok := m.peers.Source(m.prefix); ok && now.After(avoidUntil) {
+			m.setWatchesStore(false)
+			err := m.follow(ctx, source)
 			now = m.clock.Now()
 			switch {
 			case err == nil:
-				notWatchingSince = time.Time{}
-			case errors.Is(err, errNotWatching) && (notWatchingSince.IsZero() || now.Sub(notWatchingSince) < watcherHandoverWait):
-				if notWatchingSince.IsZero() {
-					notWatchingSince = now
+				failingSince, listed = time.Time{}, true
+				m.awaitAnnouncement(ctx)
+			case failingSince.IsZero() || now.Sub(failingSince) < sourceHandoverWait:
+				if failingSince.IsZero() {
+					failingSince = now
 				}
-				bergamotgrade.Sleep(ctx, watcherRetryInterval)
+				bergamotgrade.Sleep(ctx, sourceRetryInterval)
 			default:
-				m.log.Info("watcher of the data centre unavailable; watching the store directly", "prefix", m.prefix, "watcher", address, "cause", err.Error())
-				notWatchingSince, avoidUntil = time.Time{}, now.Add(watcherBackoff)
+				m.log.Info("source of the mirror unavailable; watching the store directly", "prefix", m.prefix, "source", source.Address, "cause", err.Error())
+				failingSince, avoidUntil = time.Time{}, now.Add(sourceBackoff)
 			}
 			continue
 		}
+		m.awaitRecovery(ctx)
 		var err error
 		if listed {
-			// Set before the first watch returns, so that followers can poll this VM now.
+			// Set before the first watch returns, so that followers can fetch from this VM now.
 			m.setWatchesStore(!m.kv.Unreachable())
 			err = m.watch(ctx)
 		} else {
-			err = m.list(ctx)
+			err = m.list(ctx, false)
 			listed = err == nil
 		}
 		m.setWatchesStore(err == nil)
@@ -269,6 +342,35 @@
 	}
 }
 
+// awaitJoin waits until this VM hears of other VMs, but not longer than joinTimeout.
+func (m *Mirror) awaitJoin(ctx context.Context) {
+	if m.start == StartAtOnce {
+		return
+	}
+	deadline := m.clock.Now().Add(joinTimeout)
+	for ctx.Err() == nil && !m.peers.Joined() && m.clock.Now().Before(deadline) {
+		pause := sourceRetryInterval
+		if m.start == StartDiscovering {
+			pause = joinListInterval
+			if err := m.list(ctx, true); err != nil {
+				m.log.Info("other VMs cannot be listed yet; retrying", "prefix", m.prefix, "cause", err.Error())
+			}
+		}
+		bergamotgrade.Sleep(ctx, pause)
+	}
+}
+
+// awaitAnnouncement waits until the source may have something new.
+func (m *Mirror) awaitAnnouncement(ctx context.Context) {
+	timer := time.NewTimer(sourceCheckInterval)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-m.announced:
+	case <-timer.C:
+	}
+}
+
 // awaitRecovery waits while the store is unreachable, but no longer than
 // unreachableRetryWait. After a state change of the store it waits for recoveryPause.
 func (m *Mirror) awaitRecovery(ctx context.Context) {
@@ -293,8 +395,9 @@
 	m.watchesStore = watchesStore
 }
 
-func (m *Mirror) list(ctx context.Context) error {
-	entries, revision, err := m.kv.Range(ctx, m.prefix, false)
+// list reads all entries; stale allows a read that may be seconds old.
+func (m *Mirror) list(ctx context.Context, stale bool) error {
+	entries, revision, err := m.kv.Range(ctx, m.prefix, stale)
 	if err != nil {
 		return err
 	}
@@ -306,26 +409,46 @@
 	return nil
 }
 
-// watchVia sends one long poll to the watcher and applies the reply.
-func (m *Mirror) watchVia(ctx context.Context, address string) error {
-	m.mu.Lock()
-	m.watchesStore = false
-	since := m.revision
-	m.mu.Unlock()
-	callCtx, cancel := context.WithTimeout(ctx, longPollTimeout)
-	defer cancel()
-	copied, err := m.peers.WatchVia(callCtx, address, m.prefix, since)
-	switch {
-	case err != nil:
-		return err
-	case !copied.Direct:
-		return errNotWatching
-	case copied.Revision > since:
+// follow fetches what the source has announced since the last fetch, if anything.
+func (m *Mirror) follow(ctx context.Context, source Source) error {
+	now := m.clock.Now()
+	if source.Position.Revision == 0 || source.Age > maxAnnouncementAge {
+		return errSourceSilent
+	}
+	if than := m.position(); source.Position.newerThan(than) {
+		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
+		defer cancel()
+		copied, err := m.peers.CopyFrom(callCtx, source.Address, m.prefix, than)
+		if err != nil {
+			return err
+		}
+		if copied.Revision < source.Position.ChangedAt {
+			return errSourceBehind
+		}
 		m.applyCopy(copied, m.dropEntry)
 	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	// Up to the revision of the source nothing has changed that this copy has not.
+	m.revision = max(m.revision, source.Position.Revision)
+	if confirmedAt := now.Add(-source.Age); confirmedAt.After(m.confirmedAt) {
+		m.confirmedAt = confirmedAt
+	}
 	return nil
 }
 
+// IsBehind reports whether a copy with the given changes has something that this one has
+// not.
+func (m *Mirror) IsBehind(changedAt, listedAt int64) bool {
+	return Position{ChangedAt: changedAt, ListedAt: listedAt}.newerThan(m.position())
+}
+
+// UpToDate reports whether the copy was up to date less than maxAge ago.
+func (m *Mirror) UpToDate(maxAge time.Duration) bool {
+	_, age, ok := m.Announcement()
+	return ok && age <= maxAge
+}
+
 // applyCopy brings the mirror to the state of a copy, unless the copy is older.
 // onMissing is called for each entry that is not in the copy. For a copy from a peer it
 // can drop the entry: the peer's copy still has the entries of a running grace period.
@@ -336,6 +459,7 @@
 		return
 	}
 	m.revision = copied.Revision
+	m.changedAt = copied.Revision
 	m.listRevision = max(m.listRevision, copied.ListedAt)
 	now := m.clock.Now()
 	m.dropExpired(now)
@@ -347,7 +471,7 @@
 		listed[key] = true
 	}
 	for key := range m.entries {
-		if !listed[key] {
+		if !listed[key] && !copied.KeysOmitted {
 			onMissing(now, key)
 		}
 	}
@@ -391,6 +515,9 @@
 		}
 		m.put(change.Entry)
 	}
+	if changed {
+		m.changedAt = m.revision
+	}
 	m.mu.Unlock()
 	if changed {
 		m.publish()
@@ -424,13 +551,19 @@
 		m.pendingRemoval[key] = true
 		return
 	}
+	m.remove(key)
+}
+
+// remove deletes the entry. The caller holds the lock.
+func (m *Mirror) remove(key string) {
 	delete(m.entries, key)
+	m.removedAt = m.revision
 }
 
 // dropEntry deletes the entry at once. The caller holds the lock.
 func (m *Mirror) dropEntry(_ time.Time, key string) {
 	delete(m.pendingRemoval, key)
-	delete(m.entries, key)
+	m.remove(key)
 }
 
 // dropExpired deletes the entries that are still pending removal once the grace period
@@ -440,17 +573,15 @@
 		return false
 	}
 	for key := range m.pendingRemoval {
-		delete(m.entries, key)
+		m.remove(key)
 	}
 	clear(m.pendingRemoval)
 	return true
 }
 
-// publish wakes all callers that wait for a change and passes all entries to onChange.
+// publish passes all entries to onChange.
 func (m *Mirror) publish() {
 	m.mu.Lock()
-	close(m.changed)
-	m.changed = make(chan struct{})
 	entries := make(map[string]bergamotgrade.Entry, len(m.entries))
 	for key, entry := range m.entries {
 		entries[key] = entry
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -54,6 +54,9 @@
 
 // testPeers makes a mirror follow another mirror, or none while watcher is nil.
 type testPeers struct {
+	// fetches counts the calls of CopyFrom.
+	fetches atomic.Int64
+
 	mu      sync.Mutex
 	watcher *Mirror
 }
@@ -70,20 +73,33 @@
 	return p.watcher
 }
 
-func (p *testPeers) FetchCopy(_ context.Context, _ string, since int64) (Copy, bool) {
+func (p *testPeers) FetchCopy(_ context.Context, _ string, than Position) (Copy, bool) {
 	if watcher := p.get(); watcher != nil {
-		copied := watcher.CopySince(since)
-		return copied, copied.Revision > since
+		copied := watcher.CopySince(than)
+		return copied, copied.Revision > than.Revision
 	}
 	return Copy{}, false
 }
 
-func (p *testPeers) Watcher() (string, bool) { return "watcher", p.get() != nil }
+func (p *testPeers) Source(string) (Source, bool) {
+	watcher := p.get()
+	if watcher == nil {
+		return Source{}, false
+	}
+	position, age, ok := watcher.Announcement()
+	if !ok {
+		return Source{}, true
+	}
+	return Source{Address: "watcher", Position: position, Age: age}, true
+}
 
-func (p *testPeers) WatchVia(ctx context.Context, _, _ string, since int64) (Copy, error) {
-	return p.get().AwaitChange(ctx, since, LongPollWait), nil
+func (p *testPeers) CopyFrom(_ context.Context, _, _ string, than Position) (Copy, error) {
+	p.fetches.Add(1)
+	return p.get().CopySince(than), nil
 }
 
+func (p *testPeers) Joined() bool { return true }
+
 // mirrorFixture is one VM's mirror of "servers/" with the entries it last published.
 type mirrorFixture struct {
 	*Mirror
@@ -99,7 +115,7 @@
 	f := &mirrorFixture{store: &disconnectableStore{Store: store}, peers: &testPeers{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	f.monitored = NewMonitoredStore(f.store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
-	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", f.peers, f.publish, log)
+	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, f.peers, f.publish, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
@@ -205,14 +221,14 @@
 	put(t, store, "servers/missed", "1")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	monitored := NewMonitoredStore(store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
-	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
+	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
 	watcher.revision = 5
 	for range 9 {
 		put(t, store, "servers/other", "1")
 	}
-	qt.Assert(t, watcher.list(context.Background()), qt.IsNil)
-	qt.Assert(t, watcher.CopySince(5).Entries, qt.HasLen, 2)
-	qt.Assert(t, watcher.CopySince(10).Entries, qt.HasLen, 0)
+	qt.Assert(t, watcher.list(context.Background(), false), qt.IsNil)
+	qt.Assert(t, watcher.CopySince(Position{Revision: 5, ListedAt: 5}).Entries, qt.HasLen, 2)
+	qt.Assert(t, watcher.CopySince(Position{Revision: 10, ListedAt: 10}).Entries, qt.HasLen, 0)
 }
 
 // TestFollowerLeavesDisconnectedWatcher: a watcher that cannot reach the store reports
@@ -249,7 +265,7 @@
 	before := f.store.watches.Load()
 	first.store.down.Store(true)
 	first.monitored.Probe(context.Background(), 0, time.Second)
-	time.Sleep(watcherHandoverWait / 2)
+	time.Sleep(sourceHandoverWait / 2)
 	f.peers.set(second.Mirror)
 	put(t, store, "servers/a", "3")
 	eventually(t, time.Second, "change through the other watcher", func() bool { return f.has("servers/a", "3") })
@@ -285,3 +301,33 @@
 	f.monitored.Probe(context.Background(), 0, time.Second)
 	qt.Assert(t, f.monitored.Unreachable(), qt.IsFalse)
 }
+
+// TestFollowersFetchOnlyChanges: while nothing changes, a follower neither calls the store
+// nor its source, and its copy stays up to date; a change costs one fetch. Load pattern:
+// hundreds of VMs follow one watcher, and polls of all of them cost more than the changes.
+func TestFollowersFetchOnlyChanges(t *testing.T) {
+	store := standin.NewStore(bergamotgrade.SystemClock{})
+	put(t, store, "servers/a", "1")
+	source, f := newMirrorFixture(t, store), newMirrorFixture(t, store)
+	eventually(t, time.Second, "first copies", func() bool { return source.has("servers/a", "1") && f.has("servers/a", "1") })
+	f.peers.set(source.Mirror)
+	time.Sleep(2 * watchInterval)
+	watches, fetches := f.store.watches.Load(), f.peers.fetches.Load()
+	for i := range 20 {
+		source.monitored.Probe(context.Background(), 0, time.Second)
+		time.Sleep(100 * time.Millisecond)
+		// The first probes are announced within sourceCheckInterval.
+		qt.Assert(t, i < 4 || f.UpToDate(600*time.Millisecond), qt.IsTrue)
+	}
+	qt.Assert(t, f.store.watches.Load(), qt.Equals, watches)
+	qt.Assert(t, f.peers.fetches.Load(), qt.Equals, fetches)
+	put(t, store, "servers/a", "2")
+	eventually(t, time.Second, "change", func() bool { return f.has("servers/a", "2") })
+	remove(t, store, "servers/a")
+	eventually(t, time.Second, "removal", func() bool { return f.has("servers/a", "") })
+	time.Sleep(2 * sourceCheckInterval)
+	qt.Assert(t, f.peers.fetches.Load()-fetches, qt.Equals, int64(2))
+	// Without a probe, the source does not know any more whether it is up to date.
+	time.Sleep(time.Second)
+	qt.Assert(t, f.UpToDate(600*time.Millisecond), qt.IsFalse)
+}
--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// succeededAt is when a call last succeeded.
+	succeededAt time.Time
 	// recoveredAt is when the last outage of at least outageThreshold ended.
 	recoveredAt time.Time
 	// historyLostAt is when a call to Changes last found that the store had discarded
@@ -52,6 +54,13 @@
 	return !s.failingSince.IsZero()
 }
 
+// SinceSuccess returns how long ago a call last succeeded.
+func (s *MonitoredStore) SinceSuccess(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return now.Sub(s.succeededAt)
+}
+
 // InGracePeriod reports whether the store has been unreachable for at least
 // outageThreshold or recovered from such an outage less than recoveryGracePeriod ago.
 // Until the period ends, owners may write their expired entries again.
@@ -105,6 +114,7 @@
 		}
 		return
 	}
+	s.succeededAt = now
 	if s.failingSince.IsZero() {
 		return
 	}
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -73,7 +73,7 @@
 	}
 	joined = !known || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
 	changed = joined || record.status.VM != status.VM ||
-		!slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
+		!sameCopies(record.status.Copies, status.Copies) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
 	if known && record.status.VM.Incarnation < status.VM.Incarnation && record.admitted != nil {
 		record.admitted = map[string]uint64{}
 	}
@@ -88,6 +88,14 @@
 	return changed, joined
 }
 
+// sameCopies reports whether the copies differ at most in their age.
+func sameCopies(a, b []CopyState) bool {
+	return slices.EqualFunc(a, b, func(a, b CopyState) bool {
+		a.AgeMs = b.AgeMs
+		return a == b
+	})
+}
+
 // addCounts adds the requests that the VM has admitted since its last status to the totals.
 // The first complete counts are the baseline: what the VM admitted before is unknown to all
 // hubs that start now.
@@ -151,6 +159,10 @@
 				batchRuns = append(batchRuns, bergamotgrade.BatchRuns{VMID: record.status.VM.VMID, ServerID: server.ServerID, Runs: server.Batch})
 			}
 		}
+		for _, copied := range record.status.Copies {
+			copied.AgeMs += now.Sub(record.receivedAt).Milliseconds()
+			digest.Copies = append(digest.Copies, copied)
+		}
 		for _, serverID := range record.status.Suspects {
 			suspects[serverID]++
 		}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -55,6 +55,19 @@
 	Admitted map[string]uint64
 	// AllAdmitted is set if Admitted holds the counts of all teams.
 	AllAdmitted bool
+	// Copies holds the copies of parts of the store that other VMs may fetch from this one.
+	Copies []CopyState
+}
+
+// CopyState announces a VM's copy of a prefix of the store.
+type CopyState struct {
+	VMID   string
+	Prefix string
+	// Revision is the revision up to which the copy is complete, ChangedAt the one of its
+	// last change, ListedAt the one of its last complete listing.
+	Revision, ChangedAt, ListedAt int64
+	// AgeMs is how many milliseconds before the sending the copy was up to date.
+	AgeMs int64
 }
 
 // ServerLoad is the number of requests in flight at one backend server.
@@ -85,6 +98,8 @@
 	// digests omit the counts that have not changed recently.
 	Admitted    map[string]uint64
 	AllAdmitted bool
+	// Copies holds the announced copies of the VMs.
+	Copies []CopyState
 }
 
 // ServerCount is a number of VMs by backend server.
--- a/gossip/tracker.go
+++ b/gossip/tracker.go
@@ -28,6 +28,8 @@
 	// offset that is constant within an incarnation of the hub.
 	Admitted    map[string]int64
 	AllAdmitted bool
+	// Copies holds the announced copies of the VMs.
+	Copies []CopyState
 }
 
 // tracker turns the digests of all hubs into reports. It does no I/O; the current time is
@@ -100,7 +102,7 @@
 	tracked.receivedAt = now
 	report = Report{
 		DataCentre: digest.DataCentre, HubID: digest.HubID, HubIncarnation: digest.Incarnation,
-		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted,
+		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted, Copies: digest.Copies,
 	}
 	for i, state := range tracked.roster {
 		if state.VMID == t.self && state.Incarnation == t.incarnation {
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -27,6 +27,10 @@
 	// maxAnswerBytes bounds the results in one answer; a larger single result is
 	// still returned.
 	maxAnswerBytes = 900 << 10
+	// maxHeadAge is the age up to which a cached head tells that a job has no more results.
+	// With the interval of watches it is less than the second after which every VM has to
+	// know a result that any VM has shown.
+	maxHeadAge = 600 * time.Millisecond
 	// resultBatchDelay is how long finished results wait for others to share a commit.
 	// It is less than one second, since the limits on waiting items are applied to
 	// counts that may be one second old.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -29,6 +29,15 @@
 	// fault returns the fault of the nth commit, counted from 0; empty for none.
 	fault   func(n int) string
 	commits int
+	// reads counts the calls of Read; only tests without concurrency use it.
+	reads int
+}
+
+func (s *faultyStore) Read(ctx context.Context, key string, stale bool) (bergamotgrade.Entry, error) {
+	s.mu.Lock()
+	s.reads++
+	s.mu.Unlock()
+	return s.Store.Read(ctx, key, stale)
 }
 
 func (s *faultyStore) Commit(ctx context.Context, commit bergamotgrade.KeyCommit) (bergamotgrade.CommitResult, error) {
@@ -194,7 +203,7 @@
 	clock := bergamotgrade.SystemClock{}
 	vm.headCache = NewHeadCache(log)
 	vm.repository = NewRepository(f.store, vm.headCache, 1<<20, noOwnerResults)
-	vm.service = NewService(clock, vm.repository, vm.headCache, vm.RunnerFor, log)
+	vm.service = NewService(clock, vm.repository, vm.headCache, vm.RunnerFor, never, log)
 	scheduler := relay.NewScheduler(clock, placement.NewSelector(name, "here"), func() {})
 	records := map[string]bergamotgrade.ServerRecord{}
 	for _, id := range f.servers {
@@ -396,12 +405,44 @@
 	headCache := NewHeadCache(log)
 	repository := NewRepository(f.store, headCache, 1<<20, noOwnerResults)
 	headCache.Put("j", Head{Team: "team", Items: 2, Revision: 1})
-	staleService := NewService(bergamotgrade.SystemClock{}, repository, headCache, vm.RunnerFor, log)
+	staleService := NewService(bergamotgrade.SystemClock{}, repository, headCache, vm.RunnerFor, never, log)
 	_, read, err := staleService.Results(context.Background(), "team", "j", 0, time.Now())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, read, qt.DeepEquals, found)
 }
 
+// never is the answer of a head cache that is not up to date.
+func never(time.Duration) bool { return false }
+
+// TestPollsWithoutStoreCalls checks that a poll for results that do not exist yet makes no
+// store call while the head cache is up to date, and one while it is not. Load pattern: every
+// job is polled twice a second until it is done; these polls made up most calls of a day.
+func TestPollsWithoutStoreCalls(t *testing.T) {
+	store := &faultyStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}
+	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	repository := NewRepository(store, headCache, 1<<20, noOwnerResults)
+	_, created, err := repository.Create(context.Background(), "j", Head{Team: "team", Items: 1}, []Item{{ItemID: "a"}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, created, qt.IsTrue)
+	upToDate := true
+	service := NewService(bergamotgrade.SystemClock{}, repository, headCache, nil, func(time.Duration) bool { return upToDate }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	for _, reads := range []int{0, 1} {
+		before := store.reads
+		total, found, err := service.Results(context.Background(), "team", "j", 0, time.Now())
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, total, qt.Equals, 1)
+		qt.Assert(t, found, qt.HasLen, 0)
+		qt.Assert(t, store.reads-before, qt.Equals, reads)
+		upToDate = false
+	}
+	// A caller that has read further than the cache shows is told by the store.
+	upToDate = true
+	before := store.reads
+	_, _, err = service.Results(context.Background(), "team", "j", 1, time.Now())
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, store.reads-before, qt.Equals, 1)
+}
+
 // TestMoreResultsThanOneCommit checks that results which accumulate while the store
 // refuses commits are all stored, although they do not fit one commit.
 func TestMoreResultsThanOneCommit(t *testing.T) {
