Home servers, loads in steps, batch starts shared between runners; heads of jobs fetched twice a second

Change: a VM uses four servers of its data centre first, by rendezvous, and goes by load in steps of three at the others; the runners of batch items share the free slots that a report shows. Heads of jobs are fetched at most twice a second, and refreshed for a poll; a starting VM waits longer for the first announcement.

--- a/entry/constants.go
+++ b/entry/constants.go
@@ -38,6 +38,9 @@
 	probeTimeout  = 700 * time.Millisecond
 	// maxCopyPeers bounds the number of peers that are asked for one copy.
 	maxCopyPeers = 3
+	// headFetchInterval is the shortest pause between two fetches of the heads of jobs, which
+	// change several times a second; who needs them sooner refreshes them.
+	headFetchInterval = 500 * time.Millisecond
 	// drainDelay is how long a stopping VM continues to accept connections: the platform
 	// takes it out of rotation only after two failed readiness checks, a second apart.
 	drainDelay = 2500 * time.Millisecond
--- a/entry/node.go
+++ b/entry/node.go
@@ -90,7 +90,7 @@
 	}
 	n.headCache = jobs.NewHeadCache(log)
 	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
-	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.headsUpToDate, log)
+	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.refreshHeads, log)
 	n.runner = jobs.NewRunner(jobs.Config{
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: n.backend,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
@@ -98,17 +98,18 @@
 	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, n.backend, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
-		prefix   string
-		start    follow.Start
-		onChange func(map[string]bergamotgrade.Entry)
+		prefix        string
+		start         follow.Start
+		fetchInterval time.Duration
+		onChange      func(map[string]bergamotgrade.Entry)
 	}{
 		// The buckets of the teams fill from the first configuration on.
-		{platform.OperatorPrefix, follow.StartAtOnce, n.setOperatorEntries},
-		{platform.ServerPrefix, follow.StartJoined, n.setServers},
-		{memberPrefix, follow.StartDiscovering, n.setMembers},
-		{jobs.HeadPrefix, follow.StartJoined, n.headCache.SetEntries},
+		{platform.OperatorPrefix, follow.StartAtOnce, 0, n.setOperatorEntries},
+		{platform.ServerPrefix, follow.StartJoined, 0, n.setServers},
+		{memberPrefix, follow.StartDiscovering, 0, n.setMembers},
+		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, n.headCache.SetEntries},
 	} {
-		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, n, n.announceCopy(mirror.onChange), log)
+		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, n, n.announceCopy(mirror.onChange), log)
 	}
 	n.registerGauges()
 	return n, nil
@@ -157,7 +158,7 @@
 	if report.HubID == "" {
 		return // limits only
 	}
-	callers := n.view.recordReport(report)
+	counts := n.view.recordReport(report)
 	for _, copied := range report.Copies {
 		if mirror, ok := n.mirrors[copied.Prefix]; ok && mirror.IsBehind(copied.ChangedAt, copied.ListedAt) {
 			mirror.Announced()
@@ -168,7 +169,7 @@
 		for _, load := range report.Load {
 			byServer[load.ServerID] = placement.Load{load.Online, load.Batch}
 		}
-		n.scheduler.UpdatePeers(report.DataCentre, byServer, report.Suspects, callers)
+		n.scheduler.UpdatePeers(report.DataCentre, byServer, report.Suspects, counts)
 	}
 	version := int64(0)
 	for _, state := range report.VMs {
@@ -187,9 +188,10 @@
 	return placement.LimitBatch(n.scheduler.ExcessBatch(), runs)
 }
 
-// headsUpToDate reports whether the heads of jobs had all changes up to maxAge ago.
-func (n *Node) headsUpToDate(maxAge time.Duration) bool {
-	return n.mirrors[jobs.HeadPrefix].UpToDate(maxAge)
+// refreshHeads brings the heads of jobs up to date from another VM if that is needed, and
+// reports whether they were less than maxAge ago.
+func (n *Node) refreshHeads(ctx context.Context, maxAge time.Duration) bool {
+	return n.mirrors[jobs.HeadPrefix].Refresh(ctx, maxAge)
 }
 
 // announceCopy returns onChange, with an announcement after each change if other VMs fetch
--- a/entry/view.go
+++ b/entry/view.go
@@ -15,6 +15,7 @@
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/relay"
 )
 
 // memberPrefix is the prefix of the keys in the platform's store under which VMs register.
@@ -223,9 +224,8 @@
 	return peers
 }
 
-// recordReport records the report about a data centre and returns the number of live VMs
-// that take callers' requests, with this VM counted as one.
-func (v *view) recordReport(report gossip.Report) (callers int) {
+// recordReport records the report about a data centre and returns the numbers of live VMs.
+func (v *view) recordReport(report gossip.Report) (counts relay.VMCounts) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := v.clock.Now()
@@ -242,13 +242,31 @@
 		}
 	}
 	v.limiter.SetGroupCounts(now, report.DataCentre, report.HubID, report.HubIncarnation, report.Callers, report.Admitted, report.AllAdmitted)
-	callers = 1
-	for _, p := range v.peers {
-		if p.Callers && p.listedWithin(now, peerTimeout) {
-			callers++
+	return v.countVMs(now)
+}
+
+// countVMs counts the live VMs, this VM included. The caller holds the lock.
+func (v *view) countVMs(now time.Time) (counts relay.VMCounts) {
+	counts.Callers = 1
+	if !v.takesCallers {
+		counts.LocalRunners, counts.Runners = 1, 1
+	}
+	own := v.members[v.self].DataCentre
+	for id, p := range v.peers {
+		if !p.listedWithin(now, peerTimeout) {
+			continue
+		}
+		if p.Callers {
+			counts.Callers++
+		}
+		if p.Runner {
+			counts.Runners++
+			if v.members[id].DataCentre == own {
+				counts.LocalRunners++
+			}
 		}
 	}
-	return callers
+	return counts
 }
 
 // copySources returns the inner addresses of up to maxSources live peers. Peers with a
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -79,6 +79,8 @@
 	clock  bergamotgrade.Clock
 	prefix string
 	start  Start
+	// fetchInterval is the shortest pause between two fetches from the source.
+	fetchInterval time.Duration
 	// onChange receives a new map of all entries after each change.
 	onChange func(map[string]bergamotgrade.Entry)
 	peers    Peers
@@ -181,10 +183,11 @@
 // errSourceSilent reports that the source has announced nothing recently.
 var errSourceSilent = errors.New("the source has announced nothing recently")
 
-// NewMirror returns an empty mirror of the prefix; its Run methods keep it up to date.
-func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
+// NewMirror returns an empty mirror of the prefix; its Run methods keep it up to date. With
+// a source it makes at most one fetch in each fetchInterval.
+func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, fetchInterval time.Duration, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
-		kv: kv, clock: clock, prefix: prefix, start: start, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
+		kv: kv, clock: clock, prefix: prefix, start: start, fetchInterval: fetchInterval, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
 		entries: map[string]bergamotgrade.Entry{}, pendingRemoval: map[string]bool{},
 	}
 }
@@ -294,13 +297,20 @@
 		now := m.clock.Now()
 		if source, ok := m.peers.Source(m.prefix); ok && now.After(avoidUntil) {
 			m.setWatchesStore(false)
-			err := m.follow(ctx, source)
+			fetched, err := m.follow(ctx, source)
 			now = m.clock.Now()
+			handoverWait := sourceHandoverWait
+			if !m.Loaded() {
+				handoverWait = joinTimeout // the source may have just started too
+			}
 			switch {
 			case err == nil:
 				failingSince, listed = time.Time{}, true
+				if fetched {
+					bergamotgrade.Sleep(ctx, m.fetchInterval)
+				}
 				m.awaitAnnouncement(ctx)
-			case failingSince.IsZero() || now.Sub(failingSince) < sourceHandoverWait:
+			case failingSince.IsZero() || now.Sub(failingSince) < handoverWait:
 				if failingSince.IsZero() {
 					failingSince = now
 				}
@@ -410,22 +420,23 @@
 }
 
 // follow fetches what the source has announced since the last fetch, if anything.
-func (m *Mirror) follow(ctx context.Context, source Source) error {
+func (m *Mirror) follow(ctx context.Context, source Source) (fetched bool, err error) {
 	now := m.clock.Now()
 	if source.Position.Revision == 0 || source.Age > maxAnnouncementAge {
-		return errSourceSilent
+		return false, errSourceSilent
 	}
 	if than := m.position(); source.Position.newerThan(than) {
 		callCtx, cancel := context.WithTimeout(ctx, fetchTimeout)
 		defer cancel()
 		copied, err := m.peers.CopyFrom(callCtx, source.Address, m.prefix, than)
 		if err != nil {
-			return err
+			return false, err
 		}
 		if copied.Revision < source.Position.ChangedAt {
-			return errSourceBehind
+			return false, errSourceBehind
 		}
 		m.applyCopy(copied, m.dropEntry)
+		fetched = true
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -434,7 +445,24 @@
 	if confirmedAt := now.Add(-source.Age); confirmedAt.After(m.confirmedAt) {
 		m.confirmedAt = confirmedAt
 	}
-	return nil
+	return fetched, nil
+}
+
+// Refresh brings the copy up to date from its source if that is needed, and reports whether
+// it was up to date less than maxAge ago. It does not call the store.
+func (m *Mirror) Refresh(ctx context.Context, maxAge time.Duration) bool {
+	if m.UpToDate(maxAge) {
+		return true
+	}
+	source, ok := m.peers.Source(m.prefix)
+	if !ok {
+		return false
+	}
+	if _, err := m.follow(ctx, source); err != nil {
+		m.log.Info("copy cannot be refreshed from its source", "prefix", m.prefix, "source", source.Address, "cause", err.Error())
+		return false
+	}
+	return m.UpToDate(maxAge)
 }
 
 // IsBehind reports whether a copy with the given changes has something that this one has
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -115,7 +115,7 @@
 	f := &mirrorFixture{store: &disconnectableStore{Store: store}, peers: &testPeers{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	f.monitored = NewMonitoredStore(f.store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
-	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, f.peers, f.publish, log)
+	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, f.peers, f.publish, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
@@ -221,7 +221,7 @@
 	put(t, store, "servers/missed", "1")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	monitored := NewMonitoredStore(store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
-	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
+	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
 	watcher.revision = 5
 	for range 9 {
 		put(t, store, "servers/other", "1")
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -412,7 +412,7 @@
 }
 
 // never is the answer of a head cache that is not up to date.
-func never(time.Duration) bool { return false }
+func never(context.Context, time.Duration) bool { return false }
 
 // TestPollsWithoutStoreCalls checks that a poll for results that do not exist yet makes no
 // store call while the head cache is up to date, and one while it is not. Load pattern: every
@@ -425,7 +425,7 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, created, qt.IsTrue)
 	upToDate := true
-	service := NewService(bergamotgrade.SystemClock{}, repository, headCache, nil, func(time.Duration) bool { return upToDate }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	service := NewService(bergamotgrade.SystemClock{}, repository, headCache, nil, func(context.Context, time.Duration) bool { return upToDate }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	for _, reads := range []int{0, 1} {
 		before := store.reads
 		total, found, err := service.Results(context.Background(), "team", "j", 0, time.Now())
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -16,15 +16,17 @@
 	// assign returns the process that should run a new job; an empty vmID leaves the
 	// job without an owner.
 	assign func(jobID string) (vmID string, incarnation int64)
-	// upToDate reports whether headCache had all changes up to maxHeadAge ago.
-	upToDate func(maxAge time.Duration) bool
-	log      *slog.Logger
+	// refresh brings headCache up to date and reports whether it had all changes up to
+	// maxAge ago.
+	refresh func(ctx context.Context, maxAge time.Duration) bool
+	log     *slog.Logger
 }
 
-// NewService returns a service; assign chooses the owner of a new job, upToDate reports
-// whether headCache had all changes up to maxAge ago.
-func NewService(clock bergamotgrade.Clock, repository *Repository, headCache *HeadCache, assign func(string) (string, int64), upToDate func(maxAge time.Duration) bool, log *slog.Logger) *Service {
-	return &Service{clock: clock, repository: repository, headCache: headCache, assign: assign, upToDate: upToDate, log: log}
+// NewService returns a service; assign chooses the owner of a new job. refresh brings
+// headCache up to date without a store call and reports whether it had all changes up to
+// maxAge ago.
+func NewService(clock bergamotgrade.Clock, repository *Repository, headCache *HeadCache, assign func(string) (string, int64), refresh func(ctx context.Context, maxAge time.Duration) bool, log *slog.Logger) *Service {
+	return &Service{clock: clock, repository: repository, headCache: headCache, assign: assign, refresh: refresh, log: log}
 }
 
 // Submission is a job that a caller submits.
@@ -154,7 +156,11 @@
 		return 0, nil, err
 	}
 	head = s.waitForResult(ctx, jobID, head, from, waitUntil)
-	if from > head.Listed || from == head.Listed && head.Listed < head.Items && !s.upToDate(maxHeadAge) {
+	if from == head.Listed && head.Open() && s.refresh(ctx, maxHeadAge) {
+		if refreshed, ok, _ := s.headCache.Head(jobID); ok {
+			head = refreshed
+		}
+	} else if from >= head.Listed && head.Listed < head.Items {
 		// The cached head may be older than results that the caller has read at
 		// another VM.
 		if head, _, err = s.repository.Reload(ctx, jobID); err != nil {
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -22,6 +22,10 @@
 	// runTimeWeight is the weight of the latest run in the moving average of the run
 	// time.
 	runTimeWeight = 0.05
+	// homeServers is the number of servers that a VM uses first.
+	homeServers = 4
+	// loadStep is the number of requests by which the loads of other servers are rounded.
+	loadStep = 3
 	// batchReserve is the number of slots of each server that batch leaves free, so
 	// that an online request seldom has to wait for the preemption of a batch run.
 	batchReserve = 1
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"time"
 
@@ -49,6 +51,10 @@
 	ejections    int
 	ejectedUntil time.Time
 	fullUntil    time.Time
+	// home is set if the server is one of the few that this VM uses first.
+	home bool
+	// batchStarts counts the batch runs that this VM has started since the last report.
+	batchStarts int
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -67,6 +73,11 @@
 	peers map[string]*peerReport
 	// runTime is the moving average of the run time of served online requests.
 	runTime time.Duration
+	// localRunners and allRunners count the live VMs that run batch items, in this data
+	// centre and in all; zero while unknown.
+	localRunners, allRunners int
+	// reports counts the reports about other VMs.
+	reports uint64
 }
 
 // NewSelector returns a selector without servers for the VM.
@@ -101,9 +112,32 @@
 		sel.serverIDs = append(sel.serverIDs, id)
 	}
 	sort.Strings(sel.serverIDs)
+	sel.chooseHome()
 	sel.sumPeers()
 }
 
+// chooseHome marks the homeServers servers of each service in this data centre that this VM
+// uses first: those with the highest rendezvous hash scores.
+func (sel *Selector) chooseHome() {
+	scores := map[string][]uint64{}
+	score := func(s *serverState) uint64 { return xxhash.Sum64String(sel.vmID + "@" + s.record.ServerID) }
+	for _, s := range sel.servers {
+		if s.home = s.record.DataCentre == sel.dataCentre && !s.record.Draining; s.home {
+			scores[s.record.Service] = append(scores[s.record.Service], score(s))
+		}
+	}
+	for _, s := range sel.servers {
+		if ranked := scores[s.record.Service]; s.home && len(ranked) > homeServers {
+			slices.SortFunc(ranked, func(a, b uint64) int { return cmp.Compare(b, a) })
+			s.home = score(s) >= ranked[homeServers-1]
+		}
+	}
+}
+
+// SetRunners sets the numbers of live VMs that run batch items, in this data centre and in
+// all, this VM included.
+func (sel *Selector) SetRunners(local, all int) { sel.localRunners, sel.allRunners = local, all }
+
 // HasServer reports whether any server of the service accepts new requests.
 func (sel *Selector) HasServer(service string) bool {
 	for _, s := range sel.servers {
@@ -123,6 +157,10 @@
 	report := &peerReport{byServer: byServer, suspects: suspects, receivedAt: now}
 	sel.peers[dataCentre] = report
 	sel.addReport(report, 1)
+	sel.reports++
+	for _, s := range sel.servers {
+		s.batchStarts = 0
+	}
 	sel.ExpirePeers(now)
 }
 
@@ -205,14 +243,27 @@
 
 // rank orders candidate servers; the lowest rank is selected.
 type rank struct {
-	// tier is 0 if a slot is free and 1 if a batch run has to be preempted.
-	tier int
-	// weight is the load per slot. In tier 0 the number of slots is added for
-	// servers in another data centre, so that they rank behind the local ones.
+	// tier orders the servers by how near they are and whether they have a free slot.
+	tier tier
+	// weight is the load per slot.
 	weight float64
 	tie    uint64
 }
 
+// tier is a class of candidate servers.
+type tier int
+
+// The tiers: free slots before slots that have to be taken from batch runs, home servers
+// before others of the data centre, and these before those elsewhere.
+const (
+	tierHomeFree tier = iota
+	tierLocalFree
+	tierRemoteFree
+	tierHomePreempt
+	tierLocalPreempt
+	tierRemotePreempt
+)
+
 func (r rank) less(other rank) bool {
 	if r.tier != other.tier {
 		return r.tier < other.tier
@@ -265,30 +316,68 @@
 }
 
 // rank returns the server's rank for the request, or false if the server has no slot for
-// it.
+// it. Load pattern: hundreds of VMs choose on reports that are up to 0.1 s old; if all chose
+// the server with the least load, the requests of that time would all go there and wait in
+// its queue. Therefore each VM uses few servers first, which also keeps connections in use,
+// and among the others it goes by load in steps of several requests.
 func (sel *Selector) rank(s *serverState, criteria Criteria) (rank, bool) {
 	r := rank{tie: bergamotgrade.MixHash(criteria.Hash ^ xxhash.Sum64String(s.record.ServerID))}
-	r.weight = float64(s.total()) / float64(s.record.Slots)
-	if s.record.DataCentre != sel.dataCentre {
-		r.weight += float64(s.record.Slots)
-	}
+	load := s.total()
 	switch {
 	case criteria.Class == Batch:
-		return r, s.free() > batchReserve
+		if !sel.mayStartBatch(s) {
+			return r, false
+		}
 	case s.free() > 0:
-		return r, true
 	case s.load(Online) < s.record.Slots:
-		r.tier = 1
-		r.weight = float64(s.load(Online)) / float64(s.record.Slots)
-		return r, true
+		r.tier = tierHomePreempt
+		load = s.load(Online)
+	default:
+		return r, false
 	}
-	return r, false
+	switch {
+	case s.home:
+	case s.record.DataCentre == sel.dataCentre:
+		r.tier += tierLocalFree
+		load -= load % loadStep
+	default:
+		r.tier += tierRemoteFree
+		load -= load % loadStep
+	}
+	r.weight = float64(load) / float64(s.record.Slots)
+	return r, true
+}
+
+// mayStartBatch reports whether this VM may start a batch run at the server now. The VMs
+// that run batch items share the free slots that a report shows, so that together they don't
+// start more. Load pattern: at the end of a load peak many slots become free at once.
+func (sel *Selector) mayStartBatch(s *serverState) bool {
+	free := s.free() - batchReserve
+	runners := sel.localRunners
+	if s.record.DataCentre != sel.dataCentre {
+		runners = sel.allRunners
+	}
+	if free <= 0 || runners <= 1 {
+		return free > 0
+	}
+	// The free slots as of the report. What does not divide evenly goes to different VMs
+	// with each report.
+	shown := free + s.batchStarts
+	share := shown / runners
+	turn := xxhash.Sum64String(sel.vmID+"/"+s.record.ServerID) + sel.reports
+	if int(turn%uint64(runners)) < shown%runners {
+		share++
+	}
+	return s.batchStarts < share
 }
 
 // AddRequest adds a request that is sent to the server to this VM's load.
 func (sel *Selector) AddRequest(serverID string, class Class) {
 	if s, ok := sel.servers[serverID]; ok {
 		s.ownLoad[class]++
+		if class == Batch {
+			s.batchStarts++
+		}
 	}
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -96,6 +96,9 @@
 	// callerErr is the result of the last write to the caller.
 	callerErr error
 	arrivedAt time.Time
+	// sentAt is when the last attempt was sent, serverID the server that it was sent to.
+	sentAt   time.Time
+	serverID string
 }
 
 // Serve proxies the request and writes the response to out. It returns a
@@ -143,6 +146,7 @@
 	}
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
+	run.sentAt, run.serverID = sentAt, server.ServerID
 	attempt := bergamotgrade.Attempt{
 		RequestID: req.RequestID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: req.Header, Body: req.Body, Team: req.Team,
@@ -340,7 +344,12 @@
 		return nil
 	}
 	run.headSent = true
-	run.relay.observer.Observe("first_event", run.relay.clock.Now().Sub(run.arrivedAt))
+	now := run.relay.clock.Now()
+	run.relay.observer.Observe("first_event", now.Sub(run.arrivedAt))
+	if now.After(run.req.LatestStart) {
+		run.relay.log.Info("response began after its objective", "request_id", run.req.RequestID, "server", run.serverID, "took", now.Sub(run.arrivedAt).String(),
+			"sent_after", run.sentAt.Sub(run.arrivedAt).String(), "runs", run.runs, "rejections", run.rejections)
+	}
 	run.callerErr = run.out.Begin(answer.Status, answer.Header, length)
 	return run.callerErr
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -344,7 +344,7 @@
 		qt.Check(t, err, qt.IsNil)
 	})
 	running.Wait() // an avoided server is used if the service has no other
-	scheduler.UpdatePeers("there", map[string]placement.Load{"a": {2, 0}}, nil, 2)
+	scheduler.UpdatePeers("there", map[string]placement.Load{"a": {2, 0}}, nil, VMCounts{Callers: 2})
 	running.Go(func() {
 		_, _ = scheduler.Acquire(ctx, SlotRequest{Service: "svc", Deadline: time.Now().Add(time.Minute)})
 	})
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -79,12 +79,22 @@
 	s.schedule()
 }
 
+// VMCounts counts the live VMs that share the servers, this VM included.
+type VMCounts struct {
+	// Callers counts the VMs that take callers' requests.
+	Callers int
+	// LocalRunners and Runners count the VMs that run batch items, in this data centre and
+	// in all.
+	LocalRunners, Runners int
+}
+
 // UpdatePeers replaces the load by server of the other VMs of a data centre, and the number
-// of them that suspect a server; vms is the number of VMs that share the servers.
-func (s *Scheduler) UpdatePeers(dataCentre string, byServer map[string]placement.Load, suspects map[string]int, vms int) {
+// of them that suspect a server.
+func (s *Scheduler) UpdatePeers(dataCentre string, byServer map[string]placement.Load, suspects map[string]int, vms VMCounts) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.vms = vms
+	s.vms = vms.Callers
+	s.selector.SetRunners(vms.LocalRunners, vms.Runners)
 	s.selector.UpdatePeers(s.clock.Now(), dataCentre, byServer, suspects)
 	s.schedule()
 }
