--- a/attempt.go
+++ b/attempt.go
@@ -44,6 +44,16 @@
 	NotRun bool
 	// Signed is set if the response carries the server's signature header.
 	Signed bool
+	// OnProgress is called by MadeProgress; it may be nil.
+	OnProgress func()
+}
+
+// MadeProgress tells that a complete part of the body has been received and handled. Bytes
+// alone are no progress: a stalled server may send some now and then.
+func (a *Answer) MadeProgress() {
+	if a.OnProgress != nil {
+		a.OnProgress()
+	}
 }
 
 // Exchanger sends opaque requests to backend servers. It returns errors of type
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -38,6 +38,9 @@
 	// immediateStoreWindow is the time before a job's due time in which its results
 	// are stored without delay.
 	immediateStoreWindow = 2 * time.Second
+	// maxItemTextBytes bounds the output of an item; a result has to fit a value of the
+	// store.
+	maxItemTextBytes = 768 << 10
 	// finalStoreTimeout bounds the storing of finished results in a graceful stop.
 	finalStoreTimeout = time.Second
 	// itemRetryDelay is the delay before a failed item or a failed load of a job is
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -34,6 +34,7 @@
 	// text holds the data of the events received in all attempts so far, and
 	// lastEventID the id of the last of them.
 	text        []string
+	textBytes   int
 	lastEventID string
 	// failedServers holds the ids of the servers that failed to run the item; avoid
 	// holds these and the server of the last attempt.
@@ -184,7 +185,13 @@
 			i.lastEventID = event.ID
 		}
 		if event.HasData() {
+			answer.MadeProgress()
 			i.text = append(i.text, event.Data())
+			i.textBytes += len(event.Raw)
+		}
+		if i.textBytes > maxItemTextBytes {
+			i.text, i.textBytes, i.lastEventID = nil, 0, ""
+			return placement.OutcomeFailed, errors.Newf("output is longer than %d bytes", maxItemTextBytes)
 		}
 	}
 }
--- a/relay/events.go
+++ b/relay/events.go
@@ -46,12 +46,28 @@
 	return strings.TrimPrefix(value, " "), ok
 }
 
+// errNoEvent is returned for bytes that are no event of an event stream.
+var errNoEvent = errors.New("body holds bytes that are no event")
+
+// hasField reports whether any line of the event is a field or a comment.
+func (e Event) hasField() bool {
+	for line := range strings.SplitSeq(string(e.Raw), "\n") {
+		name, _, found := strings.Cut(strings.TrimSuffix(line, "\r"), ":")
+		if found && len(name) <= maxFieldNameBytes && !strings.ContainsAny(name, " \t\x00") || name == "data" || name == "id" {
+			return true
+		}
+	}
+	return false
+}
+
 // EventReader splits a text/event-stream body into complete events.
 type EventReader struct {
 	body   io.Reader
 	buffer []byte
 	chunk  []byte
 	err    error
+	// emptyLines counts the empty lines since the last event.
+	emptyLines int
 }
 
 // NewEventReader returns a reader for the events of body.
@@ -60,13 +76,25 @@
 }
 
 // Next returns the next complete event. It returns io.EOF after the last event and
-// io.ErrUnexpectedEOF if the stream ends within an event.
+// io.ErrUnexpectedEOF if the stream ends within an event. Bytes that are no event are an
+// error, as they may come without end.
 func (r *EventReader) Next() (Event, error) {
 	for {
 		if end := eventEnd(r.buffer); end > 0 {
 			raw := bytes.Clone(r.buffer[:end])
 			r.buffer = r.buffer[:copy(r.buffer, r.buffer[end:])]
-			return Event{Raw: raw, ID: eventID(raw)}, nil
+			event := Event{Raw: raw, ID: eventID(raw)}
+			if len(bytes.TrimSpace(raw)) == 0 {
+				if r.emptyLines++; r.emptyLines > maxEmptyLines {
+					return Event{}, errNoEvent
+				}
+				continue // an empty line more than needed
+			}
+			if !event.hasField() {
+				return Event{}, errNoEvent
+			}
+			r.emptyLines = 0
+			return event, nil
 		}
 		if r.err != nil {
 			if r.err == io.EOF && len(bytes.TrimSpace(r.buffer)) > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -295,6 +295,9 @@
 		if event.ID != "" {
 			run.lastEventID = event.ID
 		}
+		if event.HasData() {
+			answer.MadeProgress()
+		}
 	}
 }
 
