Gossip: own limit for forwarded digests, halved limits, secondary hubs send digests only

Change: 200 own digests a second and hub, 120 forwarded and 120 to other data centres; the secondary hub sends its own digests only, and all that it knows once it becomes the primary one.

--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -13,7 +13,7 @@
 	// digestInterval is the longest pause between two digests of a hub.
 	digestInterval = 150 * time.Millisecond
 	// slowInterval is the pause between two digests to a VM that has another primary hub.
-	slowInterval = 300 * time.Millisecond
+	slowInterval = 400 * time.Millisecond
 	// fullInterval is the pause between two digests, or two statuses, with all counts.
 	fullInterval = time.Second
 	// hubsPerDataCentre is the number of hubs that a VM reports to: messages still arrive
@@ -23,13 +23,15 @@
 	// another hub; hubRetryInterval is the time until it tries the failed one again.
 	hubTimeout       = 500 * time.Millisecond
 	hubRetryInterval = 3 * time.Second
-	// localDatagramsPerSecond bounds the datagrams that a hub sends to the VMs that have it
-	// as primary hub, remoteDatagramsPerSecond those to hubs of other data centres, where
-	// traffic costs more, and statusesPerSecond the statuses of a VM. In small fleets every
-	// change is sent at once.
-	localDatagramsPerSecond  = 400
-	remoteDatagramsPerSecond = 240
-	statusesPerSecond        = 50
+	// localDatagramsPerSecond bounds the digests that a hub sends to the VMs that have it as
+	// primary hub, forwardDatagramsPerSecond the digests of other data centres that it
+	// forwards to them, remoteDatagramsPerSecond its digests to hubs of other data centres,
+	// where traffic costs more, and statusesPerSecond the statuses of a VM. In small fleets
+	// every change is sent at once.
+	localDatagramsPerSecond   = 200
+	forwardDatagramsPerSecond = 120
+	remoteDatagramsPerSecond  = 120
+	statusesPerSecond         = 50
 	// datagramBurst and statusBurst are how many of them may be sent at once.
 	datagramBurst = 128
 	statusBurst   = 20
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -61,7 +61,7 @@
 }
 
 // record applies a status. changed means that the totals or the roster differ; joined means
-// that the hub had no recent status of this process.
+// that the hub had no recent status of this process, or becomes its primary hub.
 func (h *hub) record(now time.Time, status Status, from *net.UDPAddr) (changed, joined bool) {
 	record, known := h.records[status.VM.VMID]
 	if known && !record.status.stamp().before(status.stamp()) {
@@ -71,7 +71,7 @@
 		record = &hubRecord{}
 		h.records[status.VM.VMID] = record
 	}
-	joined = !known || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
+	joined = !known || status.Primary && !record.status.Primary || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
 	changed = joined || record.status.VM != status.VM ||
 		!sameCopies(record.status.Copies, status.Copies) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
 	if known && record.status.VM.Incarnation < status.VM.Incarnation && record.admitted != nil {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -55,7 +55,9 @@
 	conn          *net.UDPConn
 	statusLimiter *rate.Limiter
 	localLimiter  *rate.Limiter
-	remoteLimiter *rate.Limiter
+	// forwardLimiter limits the forwarded digests of other data centres.
+	forwardLimiter *rate.Limiter
+	remoteLimiter  *rate.Limiter
 	// statusTriggers is signalled when this VM's status has changed, localTriggers when the
 	// VMs that report to this hub have to hear of a change, remoteTriggers when the hubs of
 	// other data centres have to.
@@ -92,6 +94,7 @@
 		config: config, conn: conn,
 		statusLimiter:  rate.NewLimiter(statusesPerSecond, statusBurst),
 		localLimiter:   rate.NewLimiter(localDatagramsPerSecond, datagramBurst),
+		forwardLimiter: rate.NewLimiter(forwardDatagramsPerSecond, datagramBurst),
 		remoteLimiter:  rate.NewLimiter(remoteDatagramsPerSecond, datagramBurst),
 		statusTriggers: make(chan struct{}, 1), localTriggers: make(chan struct{}, 1), remoteTriggers: make(chan struct{}, 1),
 		peers: map[string]peer{}, choice: newHubChoice(config.VMID),
@@ -278,20 +281,26 @@
 	}
 	n.mu.Lock()
 	primary, secondary := n.hub.subscribers(now)
-	datagrams := pack(data, n.relayed.take(now, n.tracker, true))
-	var slowDatagrams [][]byte
-	if digest.Roster != nil || now.Sub(n.slowSentAt) >= slowInterval {
+	var forwarded [][]byte
+	if n.forwardLimiter.TokensAt(now) >= 0 {
+		forwarded = n.relayed.take(now, n.tracker)
+	}
+	if digest.Roster == nil && now.Sub(n.slowSentAt) < slowInterval {
+		secondary = nil
+	} else {
 		n.slowSentAt = now
-		slowDatagrams = pack(data, n.relayed.take(now, n.tracker, false))
 	}
 	n.mu.Unlock()
+	datagrams := pack(data, forwarded)
 	for _, datagram := range datagrams {
 		n.send(datagram, primary)
 	}
-	for _, datagram := range slowDatagrams {
-		n.send(datagram, secondary)
+	n.send(data, secondary)
+	if extra := len(primary) * (len(datagrams) - 1); extra > 0 {
+		// Takes the tokens in advance; the next round does not forward before they are back.
+		n.forwardLimiter.ReserveN(now, min(extra, datagramBurst))
 	}
-	n.wait(ctx, n.localLimiter, len(primary)*len(datagrams))
+	n.wait(ctx, n.localLimiter, len(primary))
 }
 
 // sendRemoteDigest sends this hub's digest to the hubs of the other data centres. It waits
--- a/gossip/relayed.go
+++ b/gossip/relayed.go
@@ -5,13 +5,12 @@
 	"time"
 )
 
-// relayed holds the digests of other data centres that a hub forwards to the VMs that
-// report to it.
+// relayed holds the digests of other data centres that a hub forwards to the VMs that have
+// it as primary hub.
 type relayed struct {
 	hubs map[string]*relayedHub
-	// forwarded and slowForwarded hold the forwarded hub of each data centre, for VMs with
-	// this hub as primary one, and for the others.
-	forwarded, slowForwarded map[string]string
+	// forwarded holds the forwarded hub of each data centre.
+	forwarded map[string]string
 }
 
 // relayedHub holds the digests of one hub, encoded.
@@ -19,9 +18,8 @@
 	// latest is the last digest, full the last one that holds the roster.
 	latest, full []byte
 	dataCentre   string
-	// pending and slowPending hold what is still to be forwarded to VMs with this hub as
-	// primary one, and to the others.
-	pending, slowPending pendingDigests
+	// pending holds what is still to be forwarded.
+	pending pendingDigests
 }
 
 // pendingDigests holds at most two digests: the last one that holds the roster, and the
@@ -37,7 +35,7 @@
 }
 
 func newRelayed() *relayed {
-	return &relayed{hubs: map[string]*relayedHub{}, forwarded: map[string]string{}, slowForwarded: map[string]string{}}
+	return &relayed{hubs: map[string]*relayedHub{}, forwarded: map[string]string{}}
 }
 
 // add queues a digest that is newer than the last one of its hub.
@@ -54,15 +52,10 @@
 		hub.full = data
 	}
 	hub.pending.add(data, full)
-	hub.slowPending.add(data, full)
 }
 
 // take returns the digests to forward now. Of each data centre only one hub is forwarded.
-func (r *relayed) take(now time.Time, tracker *tracker, primary bool) [][]byte {
-	forwarded := r.forwarded
-	if !primary {
-		forwarded = r.slowForwarded
-	}
+func (r *relayed) take(now time.Time, tracker *tracker) [][]byte {
 	var digests [][]byte
 	for id, hub := range r.hubs {
 		live := tracker.hubsOf(now, hub.dataCentre)
@@ -70,22 +63,18 @@
 			delete(r.hubs, id)
 			continue
 		}
-		pending := &hub.pending
-		if !primary {
-			pending = &hub.slowPending
-		}
 		if live[0] == id {
-			if forwarded[hub.dataCentre] != id && pending.full == nil {
-				pending.full = hub.full // the VMs may not have the roster of this hub
+			if r.forwarded[hub.dataCentre] != id && hub.pending.full == nil {
+				hub.pending.full = hub.full // the VMs may not have the roster of this hub
 			}
-			forwarded[hub.dataCentre] = id
-			for _, data := range [][]byte{pending.full, pending.latest} {
+			r.forwarded[hub.dataCentre] = id
+			for _, data := range [][]byte{hub.pending.full, hub.pending.latest} {
 				if data != nil {
 					digests = append(digests, data)
 				}
 			}
 		}
-		*pending = pendingDigests{}
+		hub.pending = pendingDigests{}
 	}
 	return digests
 }
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -41,6 +41,10 @@
 			}
 		}
 		s.selector.UpdatePeers(s.now, f[1], parseLoads(f[2:]), suspects)
+	case "runners": // runners LOCAL ALL: the live VMs that run batch items
+		local, _ := strconv.Atoi(f[1])
+		all, _ := strconv.Atoi(f[2])
+		s.selector.SetRunners(local, all)
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.selector.AddRequest(f[2], class(f[1]))
