--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -14,8 +14,14 @@
 	digestInterval = 150 * time.Millisecond
 	// slowInterval is the pause between two digests to a VM that has another primary hub.
 	slowInterval = 400 * time.Millisecond
-	// fullInterval is the pause between two digests, or two statuses, with all counts.
-	fullInterval = time.Second
+	// fullStatusInterval is the pause between two statuses with all counts, and
+	// fullDigestInterval the one between two digests with all counts and the roster. New VMs
+	// and hubs get these at once.
+	fullStatusInterval = time.Second
+	fullDigestInterval = 3 * time.Second
+	// listedTimeout is how long a VM counts as listed by the hubs after the last digest that
+	// lists it.
+	listedTimeout = 700 * time.Millisecond
 	// hubsPerDataCentre is the number of hubs that a VM reports to: messages still arrive
 	// while one of them is down.
 	hubsPerDataCentre = 2
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -177,7 +177,7 @@
 	}
 	digest.RosterVersion = h.rosterVersion
 	state := &h.audiences[to]
-	digest.Admitted, digest.AllAdmitted = state.counts.trim(now, maps.Clone(h.admitted), state.fullRequested)
+	digest.Admitted, digest.AllAdmitted = state.counts.trim(now, fullDigestInterval, maps.Clone(h.admitted), state.fullRequested)
 	if digest.AllAdmitted || now.Sub(h.rosterChangedAt) < slowInterval {
 		digest.Roster = h.roster
 	}
--- a/gossip/hub_test.go
+++ b/gossip/hub_test.go
@@ -192,7 +192,7 @@
 		h.record(now, status, nil)
 	}
 	counted := func() int64 {
-		now = now.Add(fullInterval / 5)
+		now = now.Add(fullStatusInterval / 5)
 		digest, _ := h.digest(now, localVMs)
 		seen, listed, ok := tracker.apply(now, digest)
 		qt.Assert(t, ok && listed, qt.IsTrue)
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -196,7 +196,7 @@
 		hasNewHub = hasNewHub || !slices.Contains(n.reportedTo, h.id)
 	}
 	n.reportedTo = ids
-	status.Admitted, status.AllAdmitted = n.counts.trim(now, status.Admitted, hasNewHub)
+	status.Admitted, status.AllAdmitted = n.counts.trim(now, fullStatusInterval, status.Admitted, hasNewHub)
 	n.mu.Unlock()
 	for i, h := range hubs {
 		status.Primary = i == 0
--- a/gossip/recent_counts.go
+++ b/gossip/recent_counts.go
@@ -16,12 +16,12 @@
 }
 
 // trim returns the counts that have changed since the previous snapshot, or all counts
-// once per fullInterval and if forced. It keeps the given map.
-func (r *recentCounts) trim(now time.Time, counts map[string]uint64, force bool) (recent map[string]uint64, all bool) {
+// once per interval and if forced. It keeps the given map.
+func (r *recentCounts) trim(now time.Time, interval time.Duration, counts map[string]uint64, force bool) (recent map[string]uint64, all bool) {
 	if now.Sub(r.currentAt) >= countRepeatPeriod {
 		r.previous, r.current, r.currentAt = r.current, counts, now
 	}
-	if force || now.Sub(r.fullSentAt) >= fullInterval {
+	if force || now.Sub(r.fullSentAt) >= interval {
 		r.fullSentAt = now
 		return counts, true
 	}
--- a/gossip/recent_counts_test.go
+++ b/gossip/recent_counts_test.go
@@ -29,7 +29,7 @@
 		for team, count := range counts {
 			copied[team] = count
 		}
-		recent, all := r.trim(now, copied, false)
+		recent, all := r.trim(now, fullStatusInterval, copied, false)
 		if now.Sub(changedAt) < countRepeatPeriod {
 			qt.Assert(t, recent["team5"], qt.Equals, counts["team5"])
 		}
@@ -40,8 +40,8 @@
 			maxCounts = max(maxCounts, len(recent))
 		}
 	}
-	qt.Assert(t, fullMessages, qt.Equals, int(200*step/fullInterval))
+	qt.Assert(t, fullMessages, qt.Equals, int(200*step/fullStatusInterval))
 	qt.Assert(t, maxCounts, qt.Equals, 1)
-	_, all := r.trim(now, counts, true)
+	_, all := r.trim(now, fullStatusInterval, counts, true)
 	qt.Assert(t, all, qt.IsTrue)
 }
--- a/gossip/tracker.go
+++ b/gossip/tracker.go
@@ -121,7 +121,7 @@
 		}
 	}
 	report.Current = t.chooseCurrent(now, digest)
-	if now.Sub(t.listedAt) > statusTimeout {
+	if now.Sub(t.listedAt) > listedTimeout {
 		report.Callers = 0
 	}
 	var own Status
