Limiter: a second reporter of the same requests is only a baseline

Cause: when a data centre's first reporter had been silent for 0.7 s, the counts of the next one were taken as new requests, although it had counted the same ones all along.

Change: the first counts of a reporter are the baseline; only those of a reporter that has restarted, while no other is heard, are new. TestSecondReporterCountsNothingTwice fails on the code before.

--- a/limit/fleet_limiter.go
+++ b/limit/fleet_limiter.go
@@ -59,9 +59,9 @@
 	offset, start map[string]int64
 }
 
-// newCountStream returns the stream of a reporter that is new to the group. Its counts began
-// when it started. If another reporter has counted the same requests, or if it is unknown
-// when they were admitted, they are only the baseline.
+// newCountStream returns the stream of a reporter that is new to the group. Its first counts
+// are the baseline: others may have reported the same requests. Only those of a reporter
+// that has restarted, and is the only one, are new.
 func newCountStream(incarnation int64, group *fleetGroup, counts map[string]int64, baseline bool) *countStream {
 	counted := &countStream{incarnation: incarnation, offset: map[string]int64{}, start: maps.Clone(group.admitted)}
 	if baseline {
@@ -123,7 +123,7 @@
 			return
 		}
 		delete(group.streams, reporter)
-		counted = newCountStream(incarnation, group, counts, !known || group.hasReporter(now))
+		counted = newCountStream(incarnation, group, counts, !ok || group.hasReporter(now))
 		group.streams[reporter] = counted
 		f.groups[dataCentre] = group
 	}
--- a/limit/fleet_limiter_test.go
+++ b/limit/fleet_limiter_test.go
@@ -185,3 +185,32 @@
 	}
 	return signed
 }
+
+// A second reporter that has counted all along must not make requests count twice, even if
+// its first report arrives after the first reporter has been silent: on a day with 195 VMs
+// one in ten requests was refused although the teams were within their rates.
+func TestSecondReporterCountsNothingTwice(t *testing.T) {
+	now := time.Unix(1000, 0)
+	team := bergamotgrade.FleetTeam{Name: "team", Rate: 10, Burst: 10}
+	f := NewFleetLimiter()
+	f.SetVMCount(now, 2)
+	f.SetTeams(now, map[string]bergamotgrade.FleetTeam{"team": team})
+	f.SetGroupCounts(now, "there", "hub1", 1, 1, map[string]int64{"team": 0}, true)
+	now = now.Add(10 * time.Second)
+	f.SetGroupCounts(now, "there", "hub1", 1, 1, map[string]int64{"team": 5}, true)
+	qt.Assert(t, f.Levels(now)["team"], qt.Equals, 5.0)
+	for _, silence := range []time.Duration{groupTimeout / 2, 2 * groupTimeout} {
+		f.SetGroupCounts(now, "there", "hub1", 1, 1, map[string]int64{"team": 5}, true)
+		now = now.Add(silence)
+		before := f.Levels(now)["team"]
+		f.SetGroupCounts(now, "there", fmt.Sprint("hub after ", silence), 1, 1, map[string]int64{"team": 500}, true)
+		qt.Assert(t, f.Levels(now)["team"], qt.Equals, before)
+	}
+	// The counts of a hub that has restarted alone are new.
+	now = now.Add(10 * time.Second)
+	f.SetGroupCounts(now, "there", "hub1", 1, 1, map[string]int64{"team": 5}, true)
+	now = now.Add(time.Second)
+	full := f.Levels(now)["team"]
+	f.SetGroupCounts(now, "there", "hub1", 2, 1, map[string]int64{"team": 3}, true)
+	qt.Assert(t, f.Levels(now)["team"], qt.Equals, full-3)
+}
