--- a/entry/node.go
+++ b/entry/node.go
@@ -402,13 +402,23 @@
 	n.membership.deregister(endCtx)
 }
 
-// runStoreProbe probes the store while this VM is the watcher of the fleet or does not
-// reach the store. Other VMs depend on the watcher, so a watcher has to detect quickly
-// that it no longer reaches the store. A VM that was cut off has to detect quickly that it
-// reaches the store again.
+// watchesStore reports whether any mirror receives changes from the store itself.
+func (n *Node) watchesStore() bool {
+	for _, mirror := range n.mirrors {
+		if mirror.WatchesStore() {
+			return true
+		}
+	}
+	return false
+}
+
+// runStoreProbe probes the store while this VM watches it or does not reach it. Other VMs
+// depend on a VM that watches, so it has to detect quickly that it no longer reaches the
+// store, and its announcements have to tell how recently it did. A VM that was cut off has
+// to detect quickly that it reaches the store again.
 func (n *Node) runStoreProbe(ctx context.Context) {
 	for bergamotgrade.Sleep(ctx, probeInterval) {
-		if _, _, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable()); role != roleWatcher && !n.kv.Unreachable() {
+		if !n.watchesStore() && !n.kv.Unreachable() {
 			continue
 		}
 		before := n.kv.Unreachable()
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -465,6 +465,13 @@
 	return m.UpToDate(maxAge)
 }
 
+// WatchesStore reports whether this VM receives the changes from the store itself.
+func (m *Mirror) WatchesStore() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.watchesStore
+}
+
 // IsBehind reports whether a copy with the given changes has something that this one has
 // not.
 func (m *Mirror) IsBehind(changedAt, listedAt int64) bool {
