--- a/jobs/items_test.go
+++ b/jobs/items_test.go
@@ -26,6 +26,19 @@
 	qt.Assert(t, f.engine.resumes, qt.DeepEquals, []string{"breaks after 2"})
 }
 
+// TestEndlessOutput checks that an item whose server sends events without end is run again
+// from its start, and that nothing of that output is in its result.
+func TestEndlessOutput(t *testing.T) {
+	f := newFleet()
+	vm := f.start(t, "vm1")
+	qt.Assert(t, vm.submit("j", "endless"), qt.IsNil)
+	found := byItem(vm.waitForResults(t, "j", 1, 5*time.Second))
+	qt.Assert(t, found["endless"], qt.Equals, Result{ItemID: "endless", Text: "endless-1\nendless-2\nendless-3\nendless-4"})
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	qt.Assert(t, f.engine.resumes, qt.HasLen, 0)
+}
+
 // TestItemAvoidsFailingServers checks that an item does not return to a server that
 // failed it. If some servers fail all requests although they are reported healthy,
 // items would otherwise use up their attempts there while a working server exists.
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -108,6 +108,8 @@
 		answer.Status = http.StatusInternalServerError
 	case strings.HasPrefix(attempt.RequestID, "breaks") && run == 1:
 		body = io.MultiReader(body, brokenBody{})
+	case strings.HasPrefix(attempt.RequestID, "endless") && run == 1:
+		body = &endlessBody{}
 	}
 	answer.Body = io.NopCloser(body)
 	return answer, nil
@@ -122,6 +124,19 @@
 	return total
 }
 
+// endlessBody is a stream of events without end.
+type endlessBody struct{ events, sent int }
+
+func (b *endlessBody) Read(p []byte) (int, error) {
+	b.events++
+	n := copy(p, fmt.Sprintf("id: %d\ndata: %s\n\n", b.events, strings.Repeat("x", 1000)))
+	b.sent += n
+	if b.sent > 4*maxItemTextBytes {
+		return 0, errors.New("the reader takes bytes without end")
+	}
+	return n, nil
+}
+
 type brokenBody struct{}
 
 func (brokenBody) Read([]byte) (int, error) { return 0, errors.New("connection reset") }
