Own interface: a stream that stalls closes the server's idle connections

Only a failure before the answer closed the idle connections. Change: a stream that breaks or stalls closes them too.

--- a/backend/client.go
+++ b/backend/client.go
@@ -93,7 +93,8 @@
 // Complete implements bergamotgrade.Backend.
 func (c *Client) Complete(ctx context.Context, server bergamotgrade.BackendServer, completion bergamotgrade.Completion) (bergamotgrade.ChunkStream, error) {
 	ctx, cancel := context.WithDeadline(ctx, completion.Deadline)
-	s := &stream{client: c, server: server, completion: completion, cancel: cancel, next: completion.ResumeOffset}
+	transports := c.transportsFor(server.Address)
+	s := &stream{client: c, server: server, completion: completion, transport: transports.pooled, cancel: cancel, next: completion.ResumeOffset}
 	s.watchdog = time.AfterFunc(c.timeouts.FirstToken, s.timeOut)
 	var trace sendTrace
 	req, err := http.NewRequestWithContext(trace.context(ctx), http.MethodPost, "http://"+server.Address+completion.Path, bytes.NewReader(completion.Body))
@@ -106,7 +107,6 @@
 	req.Header.Set(headerRequestID, completion.RequestID)
 	req.Header.Set(headerAttemptID, completion.AttemptID)
 	req.Header.Set(headerResumeOffset, strconv.Itoa(completion.ResumeOffset))
-	transports := c.transportsFor(server.Address)
 	res, err := transports.pooled.RoundTrip(req)
 	if err != nil {
 		err = trace.classify(s.wrapTimeout(err))
--- a/backend/stream.go
+++ b/backend/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -38,6 +39,7 @@
 	client     *Client
 	server     bergamotgrade.BackendServer
 	completion bergamotgrade.Completion
+	transport  *http.Transport
 	cancel     context.CancelFunc
 	watchdog   *time.Timer
 	timedOut   atomic.Bool
@@ -91,6 +93,9 @@
 	if err == nil {
 		err = io.ErrUnexpectedEOF
 	}
+	// What broke or silenced this connection may have done so to the idle ones; closing them
+	// makes the next attempt open a new one.
+	s.transport.CloseIdleConnections()
 	return bergamotgrade.Chunk{}, bergamotgrade.MaybeRan(s.wrapTimeout(err))
 }
 
--- a/backend/stream_test.go
+++ b/backend/stream_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		_ = ctx
-		s := &stream{client: New(Timeouts{TokenGap: time.Minute}), completion: bergamotgrade.Completion{AttemptID: "a"}, cancel: cancel}
+		s := &stream{client: New(Timeouts{TokenGap: time.Minute}), transport: &http.Transport{}, completion: bergamotgrade.Completion{AttemptID: "a"}, cancel: cancel}
 		s.watchdog = time.AfterFunc(time.Minute, func() {})
 		s.start(io.NopCloser(bytes.NewReader(data)))
 		defer s.Close()
