--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -166,6 +166,36 @@
 	qt.Assert(t, len(draining.Runs()), qt.Equals, before)
 }
 
+// A restarted VM uses neither a key that was withdrawn nor a backend server that left before
+// its start, although the other VM keeps running.
+func TestRestartBringsNothingBack(t *testing.T) {
+	f := newTestFleet(t)
+	left := f.addEngine("e1")
+	f.addEngine("e2")
+	first := f.addVM(1, true)
+	f.addVM(2, true)
+	reply, err := first.caller("k1").Stream(standin.OncePath, "a")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, reply.Status, qt.Equals, http.StatusOK)
+	f.configure("k2")
+	_, err = f.store.Commit(context.Background(), bergamotgrade.KeyCommit{Deletes: []string{left.RegistryKey()}})
+	qt.Assert(t, err, qt.IsNil)
+	delete(f.engines, "e1")
+	before := len(left.Runs())
+	first.stop()
+	<-first.stopped
+	restarted := f.addVM(1, true)
+	for i := range 10 {
+		old, err := restarted.caller("k1").Stream(standin.OncePath, fmt.Sprint("old", i))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, old.Status, qt.Equals, http.StatusUnauthorized)
+		fresh, err := restarted.caller("k2").Stream(standin.OncePath, fmt.Sprint("new", i))
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, fresh.Status, qt.Equals, http.StatusOK)
+	}
+	qt.Assert(t, len(left.Runs()), qt.Equals, before)
+}
+
 // While the store is unreachable, a VM serves streams from its last known configuration and
 // refuses jobs with 503 and Retry-After; a refused job has not been accepted. After the
 // store's return the VM accepts jobs again.
