--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -90,8 +90,10 @@
 	clock := &manualClock{now: time.Unix(1000, 0)}
 	entries := map[string]bergamotgrade.Entry{}
 	for i, m := range []member{
-		{VMID: "a1", DataCentre: "a", Cores: 0.2}, {VMID: "a2", DataCentre: "a", Cores: 0.5},
-		{VMID: "b1", DataCentre: "b", Cores: 0.8}, {VMID: "b2", DataCentre: "b", Cores: 0.2},
+		{VMID: "a1", DataCentre: "a", Cores: 0.2},
+		{VMID: "a2", DataCentre: "a", Cores: 0.5},
+		{VMID: "b1", DataCentre: "b", Cores: 0.8},
+		{VMID: "b2", DataCentre: "b", Cores: 0.2},
 	} {
 		m.InnerAddress, m.Incarnation = "address-"+m.VMID, 1
 		value, err := json.Marshal(m)
