--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -127,10 +127,11 @@
 // Position is the state of a copy.
 type Position struct {
 	// Revision is the revision up to which the copy is complete.
-	Revision int64
+	Revision int64 `json:"revision"`
 	// ChangedAt is the revision of the last change, ListedAt the one of the last complete
 	// listing.
-	ChangedAt, ListedAt int64
+	ChangedAt int64 `json:"changed_at"`
+	ListedAt  int64 `json:"listed_at"`
 }
 
 // newerThan reports whether a copy at the position has something that one at the other has
