--- a/entry/constants.go
+++ b/entry/constants.go
@@ -3,17 +3,14 @@
 import "time"
 
 const (
-	// memberLeaseTerm is the term of the lease on a VM's registration. Gossip shows sooner
-	// that a VM has ended; the lease removes what is left of it.
-	memberLeaseTerm = 10 * time.Second
+	// memberLeaseTerm is the term of the lease on a VM's registration. After the lease
+	// expires, other VMs take over the VM's jobs.
+	memberLeaseTerm = 4 * time.Second
 	// leaseRenewInterval is the pause between two renewals of the lease: two renewals
 	// may fail within one term.
-	leaseRenewInterval = 3 * time.Second
+	leaseRenewInterval = 1300 * time.Millisecond
 	// leaseRetryDelay is the pause after a failed renewal.
 	leaseRetryDelay = 300 * time.Millisecond
-	// runnerTimeout is how long a VM has to be silent for its jobs to be taken over, by a VM
-	// that hears of most others. A lost VM costs a job this much of its time to its due time.
-	runnerTimeout = 2500 * time.Millisecond
 	// peerTimeout is how long a VM counts as alive after its last gossip message.
 	peerTimeout = 1500 * time.Millisecond
 	// startupGrace is the time after the start of the process in which other VMs count
--- a/entry/view.go
+++ b/entry/view.go
@@ -461,9 +461,9 @@
 }
 
 // RunnerAlive implements jobs.Fleet. A process counts as dead if a newer process runs on
-// its VM, if it is leaving, if its lease has expired, or if it has been silent for
-// runnerTimeout while this VM hears of most others. The store decides between two VMs that
-// hold each other for dead.
+// its VM, if it is leaving, or if its gossip has stopped and its lease has expired. Silence
+// alone does not count: two VMs that don't hear each other would take each other's jobs in
+// turn.
 func (v *view) RunnerAlive(vmID string, incarnation int64) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -485,26 +485,7 @@
 		return true
 	}
 	m, registered := v.members[vmID]
-	if !registered || m.Incarnation != incarnation {
-		return false
-	}
-	heardSince := v.startedAt
-	if found {
-		heardSince = p.receivedAt
-	}
-	return now.Sub(heardSince) < runnerTimeout || !v.hearsMost(now)
-}
-
-// hearsMost reports whether gossip lists most of the registered VMs as live. The caller
-// holds the lock.
-func (v *view) hearsMost(now time.Time) bool {
-	live := 0
-	for id, p := range v.peers {
-		if _, registered := v.members[id]; registered && p.listedWithin(now, peerTimeout) {
-			live++
-		}
-	}
-	return 2*(live+1) > len(v.members)
+	return registered && m.Incarnation == incarnation
 }
 
 // configurationVersion returns the version of the configuration in force, or zero.
