Logs: the parts of a failed request's prompt

The lines 'server failed and may have run the request' and 'item attempt failed' name the shared parts of the prompt now. Observability only: no decision changes.

--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -98,7 +98,7 @@
 	default:
 		runner.observer.Count("item_attempts_failed")
 		runner.log.Info("item attempt failed; retrying the item", "job", i.job.id, "item", i.item.ItemID, "server", server.ServerID,
-			"last_event_id", i.lastEventID, "failures", i.failures, "cause", err.Error())
+			"last_event_id", i.lastEventID, "failures", i.failures, "prompt_parts", i.item.PromptParts, "cause", err.Error())
 		i.avoid = maps.Clone(i.failedServers)
 		i.avoid[server.ServerID] = true
 		delay := itemRetryDelay
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -23,7 +23,10 @@
 	Header    http.Header
 	Body      []byte
 	Team      string
-	Service   string
+	// PromptParts holds the ids of the parts of the prompt that other requests may share,
+	// in order.
+	PromptParts []string
+	Service     string
 	// Streams marks a request whose response is an event stream.
 	Streams bool
 	// Repeatable allows the request to run more than once; a repeatable stream is
@@ -244,7 +247,7 @@
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
 	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error(),
-		"attempt", run.runs, "last_event_id", run.lastEventID, "again", again)
+		"attempt", run.runs, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "again", again)
 	if again {
 		return false, nil
 	}
