--- a/entry/node.go
+++ b/entry/node.go
@@ -19,6 +19,7 @@
 	"github.com/bergamotgrade/bergamotgrade/jobs"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/platform"
+	"github.com/bergamotgrade/bergamotgrade/quarantine"
 	"github.com/bergamotgrade/bergamotgrade/relay"
 	"github.com/bergamotgrade/bergamotgrade/vm"
 )
@@ -36,6 +37,7 @@
 	view          *view
 	scheduler     *relay.Scheduler
 	backend       *platform.BackendClient
+	guard         *quarantine.Guard
 	gossip        *gossip.Node
 	peers         *vm.Peers
 	peerServer    *vm.Server
@@ -91,11 +93,12 @@
 	n.headCache = jobs.NewHeadCache(log)
 	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
 	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.refreshHeads, log)
+	n.guard = quarantine.New(quarantine.Config{Clock: n.clock, VMID: settings.VMID, Store: n.kv, Prober: n.backend, VMs: n.view.liveVMs, Log: log})
 	n.runner = jobs.NewRunner(jobs.Config{
-		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: n.backend,
+		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: n.backend, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, n.backend, log, n.metrics), service, n.metrics, log)
+	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, n.backend, n.guard, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -107,6 +110,7 @@
 		{platform.OperatorPrefix, follow.StartAtOnce, 0, n.setOperatorEntries},
 		{platform.ServerPrefix, follow.StartJoined, 0, n.setServers},
 		{memberPrefix, follow.StartDiscovering, 0, n.setMembers},
+		{quarantine.Prefix, follow.StartJoined, 0, n.guard.SetEntries},
 		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, n.headCache.SetEntries},
 	} {
 		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, n, n.announceCopy(mirror.onChange), log)
@@ -119,6 +123,7 @@
 	n.metrics.Gauge("config_version", func() int64 { return n.view.configurationVersion() })
 	n.metrics.Gauge("jobs_owned", func() int64 { jobs, _ := n.runner.Count(); return int64(jobs) })
 	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
+	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { return int64(n.guard.Quarantined()) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
@@ -300,7 +305,7 @@
 // ready reports whether this VM takes new connections of callers.
 func (n *Node) ready() bool {
 	return !n.view.Leaving() && n.view.Configuration() != nil &&
-		n.mirrors[platform.ServerPrefix].Loaded() && n.view.knowsMembers()
+		n.mirrors[platform.ServerPrefix].Loaded() && n.mirrors[quarantine.Prefix].Loaded() && n.view.knowsMembers()
 }
 
 // Run serves until the context ends, then completes the requests in flight within the
@@ -314,7 +319,7 @@
 	workCtx, stopWork := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){
-		n.membership.run, n.gossip.RunSender, n.gossip.RunReceiver, n.runner.Run, n.runMaintenance, n.runStoreProbe,
+		n.membership.run, n.gossip.RunSender, n.gossip.RunReceiver, n.runner.Run, n.guard.Run, n.runMaintenance, n.runStoreProbe,
 		func(ctx context.Context) { n.peerServer.Run(ctx, listeners["inner"]) },
 	} {
 		work.Go(func() { run(workCtx) })
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -139,3 +139,52 @@
 	qt.Check(t, f.crashingRuns(settledAt) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests with the part reached servers, %d servers ended", f.crashingRuns(settledAt), f.crashes()))
 	qt.Check(t, served >= sent*9/10, qt.IsTrue, qt.Commentf("%d of %d sound requests served", served, sent))
 }
+
+// The part stays away from servers when all VMs start again at the same time, when another VM
+// starts, and when a VM that could not reach the store and its peers' copies does again.
+func TestPromptPartEndsServersAfterRestart(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	vms := []*testNode{f.addVM(1, true), f.addVM(2, true)}
+	f.playUntilSettled(vms)
+	for _, vm := range vms {
+		vm.stop()
+	}
+	for _, vm := range vms {
+		<-vm.stopped
+	}
+	vms = []*testNode{f.addVM(1, true), f.addVM(2, true), f.addVM(3, true)}
+	settledAt := time.Now()
+	sent, served := f.play(vms, 3*time.Second)
+	qt.Check(t, f.crashingRuns(settledAt) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests with the part reached servers, %d servers ended", f.crashingRuns(settledAt), f.crashes()))
+	qt.Check(t, served >= sent*9/10, qt.IsTrue, qt.Commentf("%d of %d sound requests served", served, sent))
+}
+
+// Batch items with the part, which are sent again when their server ends, neither end one
+// server after the other nor keep the other items of their job from being done.
+func TestBatchItemEndsOneServerAfterTheOther(t *testing.T) {
+	f := newCrashFleet(t, 8)
+	caller := f.addVM(1, true).caller("k1")
+	f.addVM(2, false)
+	crashing, sound := caller, caller
+	crashing.PromptParts = fmt.Sprintf("a0:100,%s:80,c0:50", crashingPart)
+	sound.PromptParts = "a0:100,b0:80,c1:50"
+	for name, c := range map[string]standin.Caller{"bad": crashing, "good": sound} {
+		reply, err := c.Submit(name, name+"1", name+"2", name+"3")
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, reply.Status, qt.Equals, http.StatusAccepted)
+	}
+	f.waitFor("sound items are done", 10*time.Second, func() bool {
+		_, _, results, err := caller.Results("good")
+		return err == nil && len(results) == 3
+	})
+	for end := time.Now().Add(5 * time.Second); f.crashes() < crashesBeforeSettling && time.Now().Before(end); {
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(crashSettleTime)
+	settledAt := time.Now()
+	time.Sleep(4 * time.Second)
+	qt.Check(t, f.crashingRuns(settledAt) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d items with the part reached servers, %d servers ended", f.crashingRuns(settledAt), f.crashes()))
+	_, _, results, err := caller.Results("bad")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, results, qt.HasLen, 0) // an item may be given up only after its retention time
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -245,6 +245,19 @@
 	return v.countVMs(now)
 }
 
+// liveVMs returns the number of live VMs, this VM included.
+func (v *view) liveVMs() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now, count := v.clock.Now(), 1
+	for _, p := range v.peers {
+		if p.listedWithin(now, peerTimeout) {
+			count++
+		}
+	}
+	return count
+}
+
 // countVMs counts the live VMs, this VM included. The caller holds the lock.
 func (v *view) countVMs(now time.Time) (counts relay.VMCounts) {
 	counts.Callers = 1
--- a/errors.go
+++ b/errors.go
@@ -34,6 +34,7 @@
 	KindNoteInvalid       ErrorKind = "note_invalid"
 	KindNotReady          ErrorKind = "not_ready"
 	KindTooManyConns      ErrorKind = "too_many_connections"
+	KindPromptQuarantined ErrorKind = "prompt_quarantined"
 	KindInternal          ErrorKind = "internal"
 )
 
@@ -60,6 +61,7 @@
 	KindNoteInvalid:       http.StatusUnprocessableEntity,
 	KindNotReady:          http.StatusServiceUnavailable,
 	KindTooManyConns:      http.StatusServiceUnavailable,
+	KindPromptQuarantined: http.StatusServiceUnavailable,
 	KindInternal:          http.StatusInternalServerError,
 }
 
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -49,6 +49,9 @@
 	// finalAttemptDelay is the delay before the last attempt that an item has left. It
 	// gives a server's fault time to pass; due times are several times longer.
 	finalAttemptDelay = 2 * time.Second
+	// quarantineCheckInterval is the delay before an item with a quarantined prompt part is
+	// looked at again. It stays in its job until the route's retention time is over.
+	quarantineCheckInterval = 2 * time.Second
 	// stallTimeout is the time without data after which an item is resumed at another
 	// server.
 	stallTimeout = 2 * time.Second
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
+	"github.com/bergamotgrade/bergamotgrade/quarantine"
 	"github.com/bergamotgrade/bergamotgrade/relay"
 )
 
@@ -226,7 +227,7 @@
 	}
 	scheduler.SetServers(records)
 	vm.runner = NewRunner(Config{
-		Clock: clock, VMID: name, Incarnation: vm.incarnation, Fleet: vm, Scheduler: scheduler, Exchanger: f.engine,
+		Clock: clock, VMID: name, Incarnation: vm.incarnation, Fleet: vm, Scheduler: scheduler, Exchanger: f.engine, Guard: quarantine.New(quarantine.Config{Clock: clock, Log: log}),
 		Repository: vm.repository, HeadCache: vm.headCache, Observer: noObserver{}, Log: log, ResultRetention: time.Minute,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -79,15 +79,22 @@
 		outcome = placement.OutcomeAborted
 	}
 	slot.Release(outcome)
+	if outcome == placement.OutcomeFailed && relay.IsConnectionLoss(err) {
+		runner.guard.ConnectionLost(server, i.item.PromptParts)
+	}
 	switch {
 	case err == nil:
 		runner.observer.Count("items_done")
+		runner.guard.Served(i.item.PromptParts)
 		runTime := runner.clock.Now().Sub(startedAt)
 		runner.observer.Observe("item", runTime)
 		if notResumed {
 			runner.recordRunTime(runTime)
 		}
 		i.job.finish(i, Result{ItemID: i.item.ItemID, State: ResultDone, Text: strings.Join(i.text, "\n")})
+	case bergamotgrade.IsKind(err, bergamotgrade.KindPromptQuarantined):
+		runner.observer.Count("items_quarantined")
+		i.requeue(quarantineCheckInterval)
 	case errors.Is(err, errUnprocessable):
 		i.abandon("server " + server.ServerID + " reported that it cannot process the item")
 	case i.failures >= maxAttempts:
@@ -141,6 +148,9 @@
 // attempt sends the item to the server, which resumes after lastEventID.
 func (i *ownedItem) attempt(ctx context.Context, server bergamotgrade.ServerRecord) (placement.Outcome, error) {
 	job := i.job
+	if err := job.runner.guard.Admit(ctx, i.item.PromptParts); err != nil {
+		return placement.OutcomeAborted, err
+	}
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
 		RequestID: i.item.ItemID, Method: http.MethodPost, Target: i.item.Path, Host: job.spec.Host,
 		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -32,6 +32,7 @@
 	fleet           Fleet
 	scheduler       *relay.Scheduler
 	exchanger       bergamotgrade.Exchanger
+	guard           bergamotgrade.PromptGuard
 	repository      *Repository
 	headCache       *HeadCache
 	observer        relay.Observer
@@ -60,6 +61,7 @@
 	Fleet       Fleet
 	Scheduler   *relay.Scheduler
 	Exchanger   bergamotgrade.Exchanger
+	Guard       bergamotgrade.PromptGuard
 	Repository  *Repository
 	HeadCache   *HeadCache
 	Observer    relay.Observer
@@ -72,7 +74,7 @@
 func NewRunner(config Config) *Runner {
 	return &Runner{
 		clock: config.Clock, self: config.VMID, incarnation: config.Incarnation, fleet: config.Fleet,
-		scheduler: config.Scheduler, exchanger: config.Exchanger, repository: config.Repository, headCache: config.HeadCache,
+		scheduler: config.Scheduler, exchanger: config.Exchanger, guard: config.Guard, repository: config.Repository, headCache: config.HeadCache,
 		observer: config.Observer, log: config.Log, resultRetention: config.ResultRetention,
 		owned: map[string]*ownedJob{}, claiming: map[string]bool{}, wake: make(chan struct{}, 1),
 	}
--- /dev/null
+++ b/quarantine/constants.go
@@ -0,0 +1,45 @@
+package quarantine
+
+import "time"
+
+const (
+	// Prefix is the store's key prefix of all records.
+	Prefix = "quarantine/"
+
+	// endsToQuarantine is the number of servers that have to end under a part. Unrelated
+	// crashes seldom have a rare part in common, and common parts are served meanwhile.
+	endsToQuarantine = 3
+	// confirmDelay is the time from the last of these ends until the quarantine begins. In it
+	// the VMs that serve requests with the part tell the others.
+	confirmDelay = 1500 * time.Millisecond
+	// firstTrialDelay is the time until one request is sent to a server again;
+	// trialDelayFactor times it is the time until the next one.
+	firstTrialDelay  = 20 * time.Second
+	trialDelayFactor = 4
+	// maxTrialDelays bounds the exponent of the delay.
+	maxTrialDelays = 4
+	// retention is how long a record counts.
+	retention = 10 * time.Minute
+	// maxRecords bounds the records in the store, maxOwnEnds the ends that one VM remembers,
+	// and maxParts the parts of one end.
+	maxRecords = 256
+	maxOwnEnds = 64
+	maxParts   = 64
+
+	// coalesceDelay is how long the VM collects the requests that break at the same time.
+	coalesceDelay = 20 * time.Millisecond
+	// servedDelayPerVM times the number of VMs is the range of the random delay after which a
+	// VM writes that a part is served; most VMs then find that another has written it.
+	servedDelayPerVM = 20 * time.Millisecond
+	// writeRetryDelay is the pause after a failed write.
+	writeRetryDelay = 200 * time.Millisecond
+	// callTimeout bounds a write to the store, trialTimeout the one that a request waits for.
+	callTimeout  = 1500 * time.Millisecond
+	trialTimeout = 500 * time.Millisecond
+	// probeTimeout bounds the probe of a server.
+	probeTimeout = 300 * time.Millisecond
+	// refreshInterval is the longest pause between two looks at the age of the records.
+	refreshInterval = 5 * time.Second
+	// maxCommitEntries is the store's limit on the entries of a commit.
+	maxCommitEntries = 32
+)
--- /dev/null
+++ b/quarantine/guard_test.go
@@ -0,0 +1,153 @@
+package quarantine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/platform/standin"
+	"github.com/bergamotgrade/bergamotgrade/scripttest"
+)
+
+// scriptClock is a clock that the steps of a script move.
+type scriptClock struct{ now time.Time }
+
+func (c *scriptClock) Now() time.Time { return c.now }
+
+// guardScript runs the steps of one script file against the guards of several VMs.
+type guardScript struct {
+	clock  *scriptClock
+	store  *standin.Store
+	guards map[string]*Guard
+	// alive holds the servers that accept connections although one broke.
+	alive map[string]bool
+	// cutOff holds the VMs that the store does not reach.
+	cutOff map[string]bool
+}
+
+func newGuardScript() *guardScript {
+	clock := &scriptClock{now: time.Unix(1000, 0)}
+	return &guardScript{clock: clock, store: standin.NewStore(clock), guards: map[string]*Guard{}, alive: map[string]bool{}, cutOff: map[string]bool{}}
+}
+
+// HasEnded implements bergamotgrade.ServerProber.
+func (s *guardScript) HasEnded(_ context.Context, server bergamotgrade.ServerRecord) bool {
+	return !s.alive[server.ServerID]
+}
+
+func (s *guardScript) guard(vmID string) *Guard {
+	guard, ok := s.guards[vmID]
+	if !ok {
+		guard = New(Config{
+			Clock: s.clock, VMID: vmID, Store: s.store, Prober: s, VMs: func() int { return 1 },
+			Log: slog.New(slog.NewTextHandler(io.Discard, nil)),
+		})
+		s.guards[vmID] = guard
+		s.mirror(vmID, guard)
+	}
+	return guard
+}
+
+func (s *guardScript) mirror(vmID string, guard *Guard) {
+	if !s.cutOff[vmID] {
+		guard.SetEntries(s.entries())
+	}
+}
+
+func (s *guardScript) entries() map[string]bergamotgrade.Entry {
+	found, _, _ := s.store.Range(context.Background(), Prefix, false)
+	entries := make(map[string]bergamotgrade.Entry, len(found))
+	for _, entry := range found {
+		entries[entry.Key] = entry
+	}
+	return entries
+}
+
+// sync lets every VM that reaches the store write what is due and then mirror the records.
+func (s *guardScript) sync() {
+	for range 2 {
+		for vmID, guard := range s.guards {
+			guard.confirmEnds(context.Background())
+			if !s.cutOff[vmID] {
+				guard.write(context.Background())
+			}
+		}
+		s.clock.now = s.clock.now.Add(servedDelayPerVM)
+	}
+	for vmID, guard := range s.guards {
+		s.mirror(vmID, guard)
+	}
+}
+
+func (s *guardScript) step(words []string) string {
+	switch words[0] {
+	case "lost": // lost VM SERVER PART,... : a request with the parts breaks at the server
+		s.guard(words[1]).ConnectionLost(bergamotgrade.ServerRecord{ServerID: words[2], StartedAt: time.Unix(900, 0)}, strings.Split(words[3], ","))
+	case "alive": // alive SERVER: the server accepts connections
+		s.alive[words[1]] = true
+	case "served": // served VM PART,... : a request with the parts is answered completely
+		s.guard(words[1]).Served(strings.Split(words[2], ","))
+	case "sync":
+		s.sync()
+	case "wait":
+		d, _ := time.ParseDuration(words[1])
+		s.clock.now = s.clock.now.Add(d)
+	case "restart": // restart VM: its memory is lost
+		delete(s.guards, words[1])
+	case "cut", "join": // cut VM: it no longer reaches the store
+		s.cutOff[words[1]] = words[0] == "cut"
+	case "check": // check VM PART,...
+		return outcome(s.guard(words[1]).Check(strings.Split(words[2], ",")))
+	case "admit": // admit VM PART,...
+		return outcome(s.guard(words[1]).Admit(context.Background(), strings.Split(words[2], ",")))
+	default:
+		return "unknown step"
+	}
+	return ""
+}
+
+func outcome(err error) string {
+	if bergamotgrade.IsKind(err, bergamotgrade.KindPromptQuarantined) {
+		return "refused"
+	}
+	return fmt.Sprint(err)
+}
+
+func TestGuardScripts(t *testing.T) {
+	scripttest.Run(t, func() scripttest.Step { return newGuardScript().step })
+}
+
+// However many servers end under however many parts, the store holds at most maxRecords
+// records, and a VM remembers at most maxOwnEnds ends.
+func TestRecordsAreBounded(t *testing.T) {
+	s := newGuardScript()
+	for i := range 3 * maxRecords {
+		s.step([]string{"lost", "vm1", fmt.Sprint("e", i), fmt.Sprintf("a%d,b%d", i, i%5)})
+		s.step([]string{"sync"})
+	}
+	qt.Check(t, len(s.entries()) <= maxRecords+1, qt.IsTrue, qt.Commentf("%d records", len(s.entries())))
+	qt.Check(t, len(s.guards["vm1"].own) <= maxOwnEnds, qt.IsTrue)
+	s.step([]string{"wait", (retention + time.Second).String()})
+	for i := range maxRecords {
+		s.step([]string{"lost", "vm1", fmt.Sprint("late", i%3), fmt.Sprint("c", i)})
+		s.step([]string{"sync"})
+	}
+	qt.Check(t, len(s.entries()) <= 3, qt.IsTrue, qt.Commentf("%d records", len(s.entries())))
+}
+
+// A record that another program wrote in another form is ignored.
+func TestUndecodableRecordIsIgnored(t *testing.T) {
+	s := newGuardScript()
+	_, err := s.store.Commit(context.Background(), bergamotgrade.KeyCommit{Writes: []bergamotgrade.KeyWrite{
+		{Key: endPrefix + "e/vm", Value: []byte("{")}, {Key: trialPrefix + "x", Value: []byte(`{"count":"y"}`)}, {Key: Prefix + "else", Value: nil},
+	}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, outcome(s.guard("vm1").Check([]string{"a"})), qt.Equals, "<nil>")
+}
--- /dev/null
+++ b/quarantine/writer.go
@@ -0,0 +1,185 @@
+package quarantine
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// Run probes servers whose connections broke and writes records until the context ends.
+func (g *Guard) Run(ctx context.Context) {
+	pause := refreshInterval
+	for {
+		timer := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		case <-g.changed:
+			timer.Stop()
+			bergamotgrade.Sleep(ctx, coalesceDelay)
+		case <-timer.C:
+		}
+		g.confirmEnds(ctx)
+		pause = g.write(ctx)
+	}
+}
+
+// confirmEnds probes the servers whose connections broke: only an end of the process speaks
+// against the requests that it ran.
+func (g *Guard) confirmEnds(ctx context.Context) {
+	g.mu.Lock()
+	var unconfirmed []*ownEnd
+	for _, end := range g.own {
+		if !end.confirmed {
+			unconfirmed = append(unconfirmed, end)
+		}
+	}
+	g.mu.Unlock()
+	if len(unconfirmed) == 0 {
+		return
+	}
+	hasEnded := make([]bool, len(unconfirmed))
+	probeCtx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	var probes sync.WaitGroup
+	for i, end := range unconfirmed {
+		probes.Go(func() { hasEnded[i] = g.config.Prober.HasEnded(probeCtx, end.server) })
+	}
+	probes.Wait()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for i, end := range unconfirmed {
+		if !hasEnded[i] {
+			delete(g.own, serverStart(end.server))
+			continue
+		}
+		end.confirmed = true
+		g.config.Log.Info("backend server ended while it ran requests", "server", end.server.ServerID, "started_at", end.server.StartedAt, "parts", end.record.Parts)
+	}
+	g.decide()
+}
+
+// write writes what is due to the store, and returns the pause until the next write.
+func (g *Guard) write(ctx context.Context) time.Duration {
+	g.mu.Lock()
+	now := g.config.Clock.Now()
+	g.dropOld(now)
+	commit, ends, served := g.dueWrites(now)
+	pause := g.pauseUntilDue(now)
+	g.mu.Unlock()
+	if len(commit.Writes) == 0 {
+		return pause
+	}
+	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result, err := g.config.Store.Commit(callCtx, commit)
+	if err != nil {
+		g.config.Log.Warn("quarantine records cannot be written; retrying", "records", len(commit.Writes), "cause", err.Error())
+		return writeRetryDelay
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for start, written := range ends {
+		if end, ok := g.own[start]; ok {
+			end.record.revision = result.Revision
+			end.unsaved = len(end.record.Parts) > written
+		}
+	}
+	for _, part := range served {
+		state := g.ownServed[part]
+		state.saved = true
+		g.ownServed[part] = state
+	}
+	g.mirrored.revision = max(g.mirrored.revision, result.Revision)
+	g.decide()
+	return g.pauseUntilDue(now)
+}
+
+// dropOld removes what no longer counts from memory. The caller holds the lock.
+func (g *Guard) dropOld(now time.Time) {
+	for start, end := range g.own {
+		if isOld(now, end.record.At) {
+			delete(g.own, start)
+		}
+	}
+	for part, served := range g.ownServed {
+		if isOld(now, served.record.At) {
+			delete(g.ownServed, part)
+		}
+	}
+	g.decide()
+}
+
+// dueWrites returns a commit of the records that are due, with the number of parts of each
+// written end and the parts that are recorded as served. It also deletes records that are old
+// or too many. The caller holds the lock.
+func (g *Guard) dueWrites(now time.Time) (commit bergamotgrade.KeyCommit, ends map[string]int, served []partKey) {
+	ends = map[string]int{}
+	add := func(key string, record any) bool {
+		value, err := encode(record)
+		if err != nil {
+			g.config.Log.Error("quarantine record cannot be encoded; not written", "key", key, "cause", err.Error())
+			return false
+		}
+		commit.Writes = append(commit.Writes, bergamotgrade.KeyWrite{Key: key, Value: value})
+		return true
+	}
+	for start, end := range g.own {
+		if end.confirmed && end.unsaved && len(commit.Writes) < maxCommitEntries/2 && add(endKey(start, g.config.VMID), end.record) {
+			ends[start] = len(end.record.Parts)
+		}
+	}
+	for part, state := range g.ownServed {
+		if state.saved || now.Before(state.writeAt) || len(commit.Writes) >= maxCommitEntries/2 {
+			continue
+		}
+		if g.mirrored.served[part].Through >= state.record.Through {
+			state.saved = true // another VM was faster
+			g.ownServed[part] = state
+		} else if add(servedKey(part), state.record) {
+			served = append(served, part)
+		}
+	}
+	if len(commit.Writes) > 0 {
+		commit.Deletes = g.surplusKeys(now, maxCommitEntries-len(commit.Writes))
+		for _, write := range commit.Writes {
+			commit.Deletes = slices.DeleteFunc(commit.Deletes, func(key string) bool { return key == write.Key })
+		}
+	}
+	return commit, ends, served
+}
+
+// surplusKeys returns up to most keys of records that are old, or that exceed maxRecords, the
+// oldest first. The caller holds the lock.
+func (g *Guard) surplusKeys(now time.Time, most int) []string {
+	keys := make([]string, 0, len(g.mirrored.times))
+	for key := range g.mirrored.times {
+		keys = append(keys, key)
+	}
+	slices.SortFunc(keys, func(a, b string) int { return g.mirrored.times[a].Compare(g.mirrored.times[b]) })
+	surplus := max(0, len(keys)-maxRecords)
+	for surplus < len(keys) && isOld(now, g.mirrored.times[keys[surplus]]) {
+		surplus++
+	}
+	return keys[:min(surplus, most)]
+}
+
+// pauseUntilDue returns the time until the next write is due. The caller holds the lock.
+func (g *Guard) pauseUntilDue(now time.Time) time.Duration {
+	pause := refreshInterval
+	for _, state := range g.ownServed {
+		if !state.saved {
+			pause = min(pause, max(0, state.writeAt.Sub(now)))
+		}
+	}
+	for _, end := range g.own {
+		if end.confirmed && end.unsaved {
+			pause = 0
+		}
+	}
+	return pause
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -60,6 +61,7 @@
 	clock     bergamotgrade.Clock
 	scheduler *Scheduler
 	exchanger bergamotgrade.Exchanger
+	guard     bergamotgrade.PromptGuard
 	log       *slog.Logger
 	observer  Observer
 }
@@ -72,9 +74,9 @@
 	Observe(name string, d time.Duration)
 }
 
-// New returns a relay that sends requests through the exchanger.
-func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, log *slog.Logger, observer Observer) *Relay {
-	return &Relay{clock: clock, scheduler: scheduler, exchanger: exchanger, log: log, observer: observer}
+// New returns a relay that sends the requests that the guard admits through the exchanger.
+func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, guard bergamotgrade.PromptGuard, log *slog.Logger, observer Observer) *Relay {
+	return &Relay{clock: clock, scheduler: scheduler, exchanger: exchanger, guard: guard, log: log, observer: observer}
 }
 
 // ErrTruncated is returned if a response ended early after its head was sent; the
@@ -139,6 +141,9 @@
 // follows.
 func (run *requestRun) attempt(ctx context.Context) (done bool, err error) {
 	req := run.req
+	if err := run.relay.guard.Check(req.PromptParts); err != nil {
+		return true, err
+	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
 		Service: req.Service, Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
 		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
@@ -147,6 +152,11 @@
 	if err != nil {
 		return true, run.contextError(ctx, err)
 	}
+	// What this VM knows of the prompt may have changed while the request waited.
+	if err := run.relay.guard.Admit(ctx, req.PromptParts); err != nil {
+		slot.Release(placement.OutcomeAborted)
+		return true, run.contextError(ctx, err)
+	}
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
 	run.sentAt, run.serverID = sentAt, server.ServerID
@@ -203,6 +213,8 @@
 		outcome := placement.OutcomeServed
 		if answer.Status >= http.StatusInternalServerError {
 			outcome = placement.OutcomeFailed
+		} else {
+			run.relay.guard.Served(run.req.PromptParts)
 		}
 		// Closes the body before the slot is released, so that the next request for
 		// the slot can reuse the connection.
@@ -244,6 +256,9 @@
 	}
 	slot.Release(placement.OutcomeFailed)
 	run.avoid[slot.Server().ServerID] = true
+	if IsConnectionLoss(cause) {
+		run.relay.guard.ConnectionLost(slot.Server(), run.req.PromptParts)
+	}
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
 	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error(),
@@ -367,3 +382,9 @@
 	run.callerErr = run.out.Write(data)
 	return run.callerErr
 }
+
+// IsConnectionLoss reports whether the error says that the server, or something on the way to
+// it, closed the connection before the answer was complete.
+func IsConnectionLoss(err error) bool {
+	return errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE)
+}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
+	"github.com/bergamotgrade/bergamotgrade/quarantine"
 )
 
 // scriptedExchanger returns the scripted results to successive attempts; the last
@@ -99,7 +100,7 @@
 func newRelay(scheduler *Scheduler, results ...result) (*Relay, *scriptedExchanger) {
 	s := &scriptedExchanger{results: results}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return New(bergamotgrade.SystemClock{}, scheduler, s, log, noObserver{}), s
+	return New(bergamotgrade.SystemClock{}, scheduler, s, quarantine.New(quarantine.Config{Clock: bergamotgrade.SystemClock{}, Log: log}), log, noObserver{}), s
 }
 
 func newStreamRequest(repeatable bool, maxAttempts int) *Request {
