An answer without a length that ends before its first event is broken off

An answer may come with neither a length nor chunks and end with its connection. A server that ended after the head then left a stream without any event, which passed for complete: a caller got an empty success, and a batch item that was resumed was listed as done with the output of its first run only.

Such a stream is broken off now; it is sent again where that is allowed. An answer that ends with its connection no longer counts as proof that its prompt is served.

--- a/attempt.go
+++ b/attempt.go
@@ -40,6 +40,9 @@
 	// Length is the body length in bytes, or -1 if the response does not state it.
 	Length int64
 	Body   io.ReadCloser
+	// EndsWithConnection is set if the response states neither a length nor chunks: its end
+	// looks like that of the server's process.
+	EndsWithConnection bool
 	// NotRun is set if the server states that it has not run the request.
 	NotRun bool
 	// Signed is set if the response carries the server's signature header.
--- a/jobs/items_test.go
+++ b/jobs/items_test.go
@@ -90,3 +90,13 @@
 	vm.runner.Stop()
 	qt.Assert(t, len(vm.waitForResults(t, "k", 1, time.Second)) > 0, qt.IsTrue)
 }
+
+// An item whose resumed run ends with its connection before any event must not be listed as
+// done with half of its output.
+func TestHalfOutputPassesForDone(t *testing.T) {
+	f := newFleet()
+	vm := f.start(t, "vm1")
+	qt.Assert(t, vm.submit("j", "ends"), qt.IsNil)
+	found := byItem(vm.waitForResults(t, "j", 1, 5*time.Second))
+	qt.Assert(t, found["ends"], qt.Equals, Result{ItemID: "ends", Text: "ends-1\nends-2\nends-3\nends-4"})
+}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -66,8 +66,9 @@
 }
 
 // engine simulates the backend servers. It answers an item with four events, unless the
-// prefix of the item's id selects a failure: "breaks" truncates the first answer, "fails"
-// gets status 500 and "never" status 422.
+// prefix of the item's id selects a failure: "breaks" truncates the first answer, "ends" does
+// too and its second answer ends with the connection after the head, "fails" gets status 500
+// and "never" status 422.
 type engine struct {
 	mu sync.Mutex
 	// runs counts the attempts of each item.
@@ -95,8 +96,10 @@
 	answer := &bergamotgrade.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true}
 	from, _ := strconv.Atoi(attempt.ResumeAfter)
 	var text strings.Builder
-	for i := from + 1; i <= 4; i++ {
-		if strings.HasPrefix(attempt.RequestID, "breaks") && run == 1 && i == 3 {
+	breaks := run == 1 && (strings.HasPrefix(attempt.RequestID, "breaks") || strings.HasPrefix(attempt.RequestID, "ends"))
+	answer.EndsWithConnection = run == 2 && strings.HasPrefix(attempt.RequestID, "ends")
+	for i := from + 1; i <= 4 && !answer.EndsWithConnection; i++ {
+		if breaks && i == 3 {
 			break
 		}
 		fmt.Fprintf(&text, "id: %d\ndata: %s-%d\n\n", i, attempt.RequestID, i)
@@ -107,7 +110,7 @@
 		answer.Status = http.StatusUnprocessableEntity
 	case strings.HasPrefix(attempt.RequestID, "fails"), e.failingServers[server.ServerID]:
 		answer.Status = http.StatusInternalServerError
-	case strings.HasPrefix(attempt.RequestID, "breaks") && run == 1:
+	case breaks:
 		body = io.MultiReader(body, brokenBody{})
 	case strings.HasPrefix(attempt.RequestID, "endless") && run == 1:
 		body = &endlessBody{}
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -85,7 +85,6 @@
 	switch {
 	case err == nil:
 		runner.observer.Count("items_done")
-		runner.guard.Served(i.item.PromptParts)
 		runTime := runner.clock.Now().Sub(startedAt)
 		runner.observer.Observe("item", runTime)
 		if notResumed {
@@ -178,10 +177,15 @@
 // readEvents appends the events of one answer to text.
 func (i *ownedItem) readEvents(answer *bergamotgrade.Answer) (placement.Outcome, error) {
 	events := relay.NewEventReader(answer.Body)
-	for {
+	for received := 0; ; received++ {
 		event, err := events.Next()
 		switch {
+		case err == io.EOF && received == 0 && answer.EndsWithConnection:
+			return placement.OutcomeFailed, io.ErrUnexpectedEOF // the server ended before its first event
 		case err == io.EOF && len(i.text) > 0:
+			if !answer.EndsWithConnection {
+				i.job.runner.guard.Served(i.item.PromptParts)
+			}
 			return placement.OutcomeServed, nil
 		case err == io.EOF:
 			return placement.OutcomeFailed, errors.New("answer contains no event")
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -213,7 +213,7 @@
 		outcome := placement.OutcomeServed
 		if answer.Status >= http.StatusInternalServerError {
 			outcome = placement.OutcomeFailed
-		} else {
+		} else if !answer.EndsWithConnection {
 			run.relay.guard.Served(run.req.PromptParts)
 		}
 		// Closes the body before the slot is released, so that the next request for
@@ -290,8 +290,11 @@
 func (run *requestRun) forwardEvents(answer *bergamotgrade.Answer) error {
 	events := NewEventReader(answer.Body)
 	resumedAfter := run.lastEventID
-	for {
+	for received := 0; ; received++ {
 		event, err := events.Next()
+		if err == io.EOF && received == 0 && answer.EndsWithConnection {
+			return io.ErrUnexpectedEOF // the server ended before its first event
+		}
 		if err == io.EOF {
 			return run.sendHead(answer, -1)
 		}
