--- a/attempt.go
+++ b/attempt.go
@@ -33,6 +33,21 @@
 	Repeatable bool
 }
 
+// RateLimit is the limit that a server names in an answer: the requests per second that it
+// takes from all VMs together.
+type RateLimit struct {
+	// Named is set if the answer names a limit.
+	Named     bool
+	PerSecond float64
+}
+
+// ServerRate is the limit of one server as of an answer that arrived Age ago.
+type ServerRate struct {
+	ServerID string
+	RateLimit
+	Age time.Duration
+}
+
 // Answer is a backend server's response; the body has not been read yet.
 type Answer struct {
 	Status int
@@ -45,6 +60,8 @@
 	EndsWithConnection bool
 	// NotRun is set if the server states that it has not run the request.
 	NotRun bool
+	// RateLimit is the limit that the response names.
+	RateLimit RateLimit
 	// Signed is set if the response carries the server's signature header.
 	Signed bool
 	// OnProgress is called by MadeProgress; it may be nil.
--- a/entry/node.go
+++ b/entry/node.go
@@ -93,12 +93,13 @@
 	n.headCache = jobs.NewHeadCache(log)
 	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
 	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.refreshHeads, log)
+	exchanger := relay.NewObservingExchanger(n.backend, n.scheduler, log)
 	n.guard = quarantine.New(quarantine.Config{Clock: n.clock, VMID: settings.VMID, Store: n.kv, Prober: quarantine.NewDialProber(), VMs: n.view.liveVMs, Log: log})
 	n.runner = jobs.NewRunner(jobs.Config{
-		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: n.backend, Guard: n.guard,
+		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, n.backend, n.guard, log, n.metrics), service, n.metrics, log)
+	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -148,6 +149,9 @@
 		Suspects: n.scheduler.Suspects(),
 		Copies:   n.copyStates(),
 	}
+	for _, heard := range n.scheduler.Rates() {
+		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
+	}
 	for id, load := range n.scheduler.Load() {
 		status.Load = append(status.Load, gossip.ServerLoad{ServerID: id, Online: load[placement.Online], Batch: load[placement.Batch]})
 	}
@@ -164,6 +168,13 @@
 		return // limits only
 	}
 	counts := n.view.recordReport(report)
+	rates := make([]bergamotgrade.ServerRate, 0, len(report.Rates))
+	for _, heard := range report.Rates {
+		rates = append(rates, bergamotgrade.ServerRate{
+			ServerID: heard.ServerID, RateLimit: bergamotgrade.RateLimit{Named: heard.Named, PerSecond: heard.PerSecond}, Age: time.Duration(heard.AgeMs) * time.Millisecond,
+		})
+	}
+	n.scheduler.MergeRates(rates, n.view.requestingVMs)
 	for _, copied := range report.Copies {
 		if mirror, ok := n.mirrors[copied.Prefix]; ok && mirror.IsBehind(copied.ChangedAt, copied.ListedAt) {
 			mirror.Announced()
--- a/entry/view.go
+++ b/entry/view.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -258,6 +259,31 @@
 	return count
 }
 
+// requestingVMs returns the ids of the live VMs that take callers' requests and of all live
+// VMs, in order. VMs that are leaving are omitted.
+func (v *view) requestingVMs() (callers, all []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	add := func(id string, takesCallers bool) {
+		all = append(all, id)
+		if takesCallers {
+			callers = append(callers, id)
+		}
+	}
+	if !v.leaving {
+		add(v.self, v.takesCallers)
+	}
+	now := v.clock.Now()
+	for id, p := range v.peers {
+		if p.listedWithin(now, peerTimeout) && !p.Leaving && id != v.self {
+			add(id, p.Callers)
+		}
+	}
+	slices.Sort(callers)
+	slices.Sort(all)
+	return callers, all
+}
+
 // countVMs counts the live VMs, this VM included. The caller holds the lock.
 func (v *view) countVMs(now time.Time) (counts relay.VMCounts) {
 	counts.Callers = 1
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -26,7 +26,10 @@
 	roster          []VMState
 	rosterVersion   uint64
 	rosterChangedAt time.Time
-	audiences       [audienceCount]audienceState
+	// rates holds the rates as of the last digest.
+	rates          []ServerRate
+	ratesChangedAt time.Time
+	audiences      [audienceCount]audienceState
 }
 
 // audience is a set of VMs that get the same digests.
@@ -73,7 +76,7 @@
 	}
 	joined = !known || status.Primary && !record.status.Primary || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
 	changed = joined || record.status.VM != status.VM ||
-		!sameCopies(record.status.Copies, status.Copies) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
+		!sameCopies(record.status.Copies, status.Copies) || !sameRates(record.status.Rates, status.Rates) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
 	if known && record.status.VM.Incarnation < status.VM.Incarnation && record.admitted != nil {
 		record.admitted = map[string]uint64{}
 	}
@@ -96,6 +99,34 @@
 	})
 }
 
+// sameRates reports whether the rates differ at most in their ages.
+func sameRates(a, b []ServerRate) bool {
+	return slices.EqualFunc(a, b, func(a, b ServerRate) bool {
+		a.AgeMs = b.AgeMs
+		return a == b
+	})
+}
+
+// mergeRates returns the newest rate of each server that the live VMs have heard of, in the
+// order of the servers' ids.
+func (h *hub) mergeRates(now time.Time, live []*hubRecord) []ServerRate {
+	newest := map[string]ServerRate{}
+	for _, record := range live {
+		for _, heard := range record.status.Rates {
+			heard.AgeMs += now.Sub(record.receivedAt).Milliseconds()
+			if known, ok := newest[heard.ServerID]; !ok || heard.AgeMs < known.AgeMs {
+				newest[heard.ServerID] = heard
+			}
+		}
+	}
+	merged := slices.SortedFunc(maps.Values(newest), func(a, b ServerRate) int { return strings.Compare(a.ServerID, b.ServerID) })
+	if !sameRates(merged, h.rates) {
+		h.ratesChangedAt = now
+	}
+	h.rates = merged
+	return merged
+}
+
 // addCounts adds the requests that the VM has admitted since its last status to the totals.
 // The first complete counts are the baseline: what the VM admitted before is unknown to all
 // hubs that start now.
@@ -181,6 +212,9 @@
 	if digest.AllAdmitted || now.Sub(h.rosterChangedAt) < slowInterval {
 		digest.Roster = h.roster
 	}
+	if rates := h.mergeRates(now, live); digest.AllAdmitted || now.Sub(h.ratesChangedAt) < slowInterval {
+		digest.Rates = rates
+	}
 	state.fullRequested = false
 	return digest, batchRuns
 }
--- a/gossip/hub_test.go
+++ b/gossip/hub_test.go
@@ -195,3 +195,35 @@
 	qt.Assert(t, report.VMs, qt.HasLen, 1)
 	qt.Assert(t, report.Callers, qt.Equals, 0)
 }
+
+// A digest holds the newest that any VM has heard of the limit of a server, for a while after
+// each change and whenever it is full; ages alone are no change.
+func TestDigestHoldsNewestRates(t *testing.T) {
+	h := newHub("a", "hub", 1)
+	report := func(now time.Time, id string, sequence uint64, rates ...ServerRate) (changed bool) {
+		changed, _ = h.record(now, Status{VM: VMState{VMID: id, Incarnation: 1}, Sequence: sequence, Rates: rates}, nil)
+		return changed
+	}
+	report(testStart, "vm1", 1, ServerRate{ServerID: "i-1", Named: true, PerSecond: 3, AgeMs: 900})
+	report(testStart, "vm2", 1, ServerRate{ServerID: "i-1", Named: true, PerSecond: 2, AgeMs: 100}, ServerRate{ServerID: "i-2", Named: true, PerSecond: 5, AgeMs: 50})
+	later := testStart.Add(100 * time.Millisecond)
+	digest, _ := h.digest(later, localVMs)
+	want := []ServerRate{{ServerID: "i-1", Named: true, PerSecond: 2, AgeMs: 200}, {ServerID: "i-2", Named: true, PerSecond: 5, AgeMs: 150}}
+	qt.Assert(t, digest.Rates, qt.DeepEquals, want)
+
+	quiet := later.Add(2 * slowInterval)
+	report(quiet, "vm1", 2, ServerRate{ServerID: "i-1", Named: true, PerSecond: 3, AgeMs: 1800})
+	report(quiet, "vm2", 2, ServerRate{ServerID: "i-1", Named: true, PerSecond: 2, AgeMs: 1}, ServerRate{ServerID: "i-2", Named: true, PerSecond: 5, AgeMs: 1})
+	h.digest(quiet, localVMs) // full, as the VMs had been silent
+	qt.Assert(t, report(quiet, "vm2", 3, ServerRate{ServerID: "i-1", Named: true, PerSecond: 2, AgeMs: 9}, ServerRate{ServerID: "i-2", Named: true, PerSecond: 5, AgeMs: 9}), qt.IsFalse)
+	digest, _ = h.digest(quiet, localVMs)
+	qt.Assert(t, digest.Rates, qt.HasLen, 0)
+	// vm1 hears that the limit is gone.
+	qt.Assert(t, report(quiet, "vm1", 3, ServerRate{ServerID: "i-1"}), qt.IsTrue)
+	digest, _ = h.digest(quiet, localVMs)
+	qt.Assert(t, digest.Rates[0], qt.Equals, ServerRate{ServerID: "i-1"})
+	full := quiet.Add(fullDigestInterval)
+	report(full, "vm2", 4, ServerRate{ServerID: "i-2", Named: true, PerSecond: 5})
+	digest, _ = h.digest(full, localVMs)
+	qt.Assert(t, digest.Rates, qt.DeepEquals, []ServerRate{{ServerID: "i-2", Named: true, PerSecond: 5}})
+}
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -57,6 +57,8 @@
 	AllAdmitted bool
 	// Copies holds the copies of parts of the store that other VMs may fetch from this one.
 	Copies []CopyState
+	// Rates holds what the VM has recently heard of the limits that servers name.
+	Rates []ServerRate
 }
 
 // CopyState announces a VM's copy of a prefix of the store.
@@ -100,6 +102,19 @@
 	AllAdmitted bool
 	// Copies holds the announced copies of the VMs.
 	Copies []CopyState
+	// Rates holds the newest that the VMs have heard of the limits that servers name. Most
+	// digests omit them unless they have changed recently.
+	Rates []ServerRate
+}
+
+// ServerRate is what a VM has heard of the limit of a backend server.
+type ServerRate struct {
+	ServerID string
+	// Named is set if the server's answer named a limit, PerSecond is the limit.
+	Named     bool
+	PerSecond float64
+	// AgeMs is how many milliseconds before the sending the answer arrived.
+	AgeMs int64
 }
 
 // ServerCount is a number of VMs by backend server.
--- a/gossip/tracker.go
+++ b/gossip/tracker.go
@@ -30,6 +30,9 @@
 	AllAdmitted bool
 	// Copies holds the announced copies of the VMs.
 	Copies []CopyState
+	// Rates holds what the VMs have heard of the limits that servers name; most reports omit
+	// it.
+	Rates []ServerRate
 }
 
 // tracker turns the digests of all hubs into reports. It does no I/O; the current time is
@@ -102,7 +105,7 @@
 	tracked.receivedAt = now
 	report = Report{
 		DataCentre: digest.DataCentre, HubID: digest.HubID, HubIncarnation: digest.Incarnation,
-		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted, Copies: digest.Copies,
+		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted, Copies: digest.Copies, Rates: digest.Rates,
 	}
 	for i, state := range tracked.roster {
 		if state.VMID == t.self && state.Incarnation == t.incarnation {
--- a/limit/bucket.go
+++ b/limit/bucket.go
@@ -56,6 +56,9 @@
 	return taken
 }
 
+// Rate returns the number of tokens that accrue per second.
+func (b *Bucket) Rate() float64 { return b.rate }
+
 // Level returns the number of tokens in the bucket, which is negative after an
 // overdraft by Spend.
 func (b *Bucket) Level(now time.Time) float64 {
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -22,6 +22,15 @@
 	// runTimeWeight is the weight of the latest run in the moving average of the run
 	// time.
 	runTimeWeight = 0.05
+	// rateRetention is how long a limit holds after the last answer that named it.
+	rateRetention = 10 * time.Second
+	// rateBurst times the limit of a server is the number of requests that callers' VMs may
+	// send it at once.
+	rateBurst = 2 * time.Second
+	// batchRateFraction is the fraction of a limit that belongs to the VMs that run batch items,
+	// and batchRateBurst the number of requests that these may send at once.
+	batchRateFraction = 1.0 / 3
+	batchRateBurst    = 2
 	// homeServers is the number of servers that a VM uses first.
 	homeServers = 4
 	// loadStep is the number of requests by which the loads of other servers are rounded.
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -55,6 +55,7 @@
 	home bool
 	// batchStarts counts the batch runs that this VM has started since the last report.
 	batchStarts int
+	rate        serverRate
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -78,16 +79,23 @@
 	localRunners, allRunners int
 	// reports counts the reports about other VMs.
 	reports uint64
+	// callers holds the ids of the live VMs that take callers' requests, vms those of all
+	// live VMs; they share the limits that servers name. rated is the number of servers of
+	// whose limits anything is known.
+	callers, vms []string
+	rated        int
+	// limitedShare holds the fraction of the servers of a service that name a limit.
+	limitedShare map[string]float64
 }
 
 // NewSelector returns a selector without servers for the VM.
 func NewSelector(vmID, dataCentre string) *Selector {
-	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime}
+	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, vms: []string{vmID}, limitedShare: map[string]float64{}}
 }
 
-// SetServers replaces the server records. A server without a record gets no new requests
+// SetServers replaces the server records at the time now. A server without a record gets no new requests
 // and is removed once this VM runs no requests there.
-func (sel *Selector) SetServers(records map[string]bergamotgrade.ServerRecord) {
+func (sel *Selector) SetServers(now time.Time, records map[string]bergamotgrade.ServerRecord) {
 	for id, record := range records {
 		server, ok := sel.servers[id]
 		if !ok {
@@ -95,7 +103,11 @@
 			continue
 		}
 		if server.record.Address != record.Address || !server.record.StartedAt.Equal(record.StartedAt) {
-			// Failures before the server's restart say nothing about the new process.
+			// What came before the server's restart says nothing about the new process.
+			if !server.rate.heardAt.IsZero() {
+				server.rate = serverRate{}
+				sel.rated--
+			}
 			server.failures, server.ejections, server.ejectedUntil = 0, 0, time.Time{}
 		}
 		server.record = record
@@ -105,6 +117,9 @@
 		if _, ok := records[id]; !ok {
 			server.record.Draining = true
 			if server.ownLoad.Total() == 0 {
+				if !server.rate.heardAt.IsZero() {
+					sel.rated--
+				}
 				delete(sel.servers, id)
 				continue
 			}
@@ -114,6 +129,7 @@
 	sort.Strings(sel.serverIDs)
 	sel.chooseHome()
 	sel.sumPeers()
+	sel.shareRates(now)
 }
 
 // chooseHome marks the homeServers servers of each service in this data centre that this VM
@@ -172,6 +188,7 @@
 			delete(sel.peers, id)
 		}
 	}
+	sel.expireRates(now)
 }
 
 // sumPeers recomputes the peer counts of all servers.
@@ -254,11 +271,14 @@
 type tier int
 
 // The tiers: free slots before slots that have to be taken from batch runs, home servers
-// before others of the data centre, and these before those elsewhere.
+// before others of the data centre, and these before those elsewhere. Servers that name a limit
+// come first for batch, and for online requests after the free slots of the others.
 const (
-	tierHomeFree tier = iota
+	tierBatchLimited tier = iota - 1
+	tierHomeFree
 	tierLocalFree
 	tierRemoteFree
+	tierLimited
 	tierHomePreempt
 	tierLocalPreempt
 	tierRemotePreempt
@@ -283,7 +303,7 @@
 		var bestRank rank
 		for _, id := range sel.serverIDs {
 			s := sel.servers[id]
-			if s.record.Service != criteria.Service || s.record.Draining || now.Before(s.fullUntil) {
+			if s.record.Service != criteria.Service || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) {
 				continue
 			}
 			if !allowUnhealthy && (criteria.Avoid[id] || s.ejected(now)) {
@@ -336,6 +356,10 @@
 		return r, false
 	}
 	switch {
+	case s.rate.limited && criteria.Class == Batch:
+		r.tier = tierBatchLimited
+	case s.rate.limited && r.tier == tierHomeFree:
+		r.tier = tierLimited
 	case s.home:
 	case s.record.DataCentre == sel.dataCentre:
 		r.tier += tierLocalFree
@@ -352,7 +376,7 @@
 // that run batch items share the free slots that a report shows, so that together they don't
 // start more. Load pattern: at the end of a load peak many slots become free at once.
 func (sel *Selector) mayStartBatch(s *serverState) bool {
-	free := s.free() - batchReserve
+	free := s.free() - sel.onlineReserve(s)
 	runners := sel.localRunners
 	if s.record.DataCentre != sel.dataCentre {
 		runners = sel.allRunners
@@ -371,9 +395,22 @@
 	return s.batchStarts < share
 }
 
-// AddRequest adds a request that is sent to the server to this VM's load.
-func (sel *Selector) AddRequest(serverID string, class Class) {
+// onlineReserve returns the number of slots of the server that batch leaves free. Where other
+// servers of the service name limits, the ones without take the online requests of all: these
+// would otherwise use up in quiet times what the limits allow at a peak.
+func (sel *Selector) onlineReserve(s *serverState) int {
+	if s.rate.limited {
+		return 0
+	}
+	return max(batchReserve, int(sel.limitedShare[s.record.Service]*float64(s.record.Slots)))
+}
+
+// AddRequest adds a request that is sent to the server now to this VM's load.
+func (sel *Selector) AddRequest(now time.Time, serverID string, class Class) {
 	if s, ok := sel.servers[serverID]; ok {
+		if s.rate.limited {
+			s.rate.bucket.Spend(now, 1)
+		}
 		s.ownLoad[class]++
 		if class == Batch {
 			s.batchStarts++
@@ -437,11 +474,22 @@
 
 // ExpectedWait estimates how long a request waits for a slot of the service if ahead
 // requests on this VM wait before it. It assumes that released slots are shared equally
-// by vms VMs. If the service has no slots it returns the mean run time.
+// by vms VMs, and adds this VM's shares of the limits that servers name. If the service has
+// neither it returns the mean run time.
 func (sel *Selector) ExpectedWait(service string, ahead, vms int) time.Duration {
-	slots, _ := sel.SlotUsage(service, Online)
-	if slots == 0 {
+	slots, limited := 0, 0.0
+	for _, s := range sel.servers {
+		switch {
+		case s.record.Service != service || s.record.Draining:
+		case s.rate.limited:
+			limited += s.rate.bucket.Rate()
+		default:
+			slots += s.record.Slots
+		}
+	}
+	perSecond := float64(slots)/(float64(max(1, vms))*sel.runTime.Seconds()) + limited
+	if perSecond == 0 {
 		return sel.runTime
 	}
-	return time.Duration(float64(ahead+1) * float64(max(1, vms)) * float64(sel.runTime) / float64(slots))
+	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
 }
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -28,7 +28,7 @@
 func (s *selectorScript) step(f []string) string {
 	switch f[0] {
 	case "servers": // id@data-centre:slots[:draining] ...
-		s.selector.SetServers(parseServers(f[1:]))
+		s.selector.SetServers(s.now, parseServers(f[1:]))
 	case "wait":
 		d, _ := time.ParseDuration(f[1])
 		s.now = s.now.Add(d)
@@ -45,9 +45,34 @@
 		local, _ := strconv.Atoi(f[1])
 		all, _ := strconv.Atoi(f[2])
 		s.selector.SetRunners(local, all)
+	case "vms": // vms CALLER ... + RUNNER ...: the live VMs
+		var callers, all []string
+		takesCallers := true
+		for _, id := range f[1:] {
+			if takesCallers = takesCallers && id != "+"; takesCallers {
+				callers = append(callers, id)
+			}
+			if id != "+" {
+				all = append(all, id)
+			}
+		}
+		s.selector.SetVMs(s.now, callers, all)
+	case "answer": // answer id LIMIT: an answer names the limit, or none
+		limit, err := strconv.ParseFloat(f[2], 64)
+		s.selector.ObserveAnswer(s.now, f[1], bergamotgrade.RateLimit{Named: err == nil, PerSecond: limit})
+	case "heard": // heard id LIMIT AGE: another VM has heard of the limit
+		limit, err := strconv.ParseFloat(f[2], 64)
+		age, _ := time.ParseDuration(f[3])
+		s.selector.MergeRates(s.now, []bergamotgrade.ServerRate{{ServerID: f[1], RateLimit: bergamotgrade.RateLimit{Named: err == nil, PerSecond: limit}, Age: age}})
+	case "rates": // what this VM has heard itself
+		var rates []string
+		for _, rate := range s.selector.Rates(s.now) {
+			rates = append(rates, fmt.Sprintf("%s=%t/%g", rate.ServerID, rate.Named, rate.PerSecond))
+		}
+		return strings.Join(rates, " ")
 	case "start": // start CLASS id [count]
 		for range count(f) {
-			s.selector.AddRequest(f[2], class(f[1]))
+			s.selector.AddRequest(s.now, f[2], class(f[1]))
 		}
 	case "end": // end CLASS id OUTCOME [run time]
 		ran := time.Second
@@ -140,7 +165,7 @@
 			starts["none"]++
 			continue
 		}
-		s.selector.AddRequest(record.ServerID, c)
+		s.selector.AddRequest(s.now, record.ServerID, c)
 		starts[record.ServerID]++
 	}
 	return formatCounts(starts)
--- a/placement/stale_test.go
+++ b/placement/stale_test.go
@@ -31,7 +31,7 @@
 	}
 	for i := range vms {
 		selector := NewSelector(fmt.Sprint("vm", i), "here")
-		selector.SetServers(f.records)
+		selector.SetServers(time.Time{}, f.records)
 		f.selectors = append(f.selectors, selector)
 		f.own = append(f.own, map[string][]time.Time{})
 	}
@@ -73,7 +73,7 @@
 			if len(f.inFlight[id]) >= f.records[id].Slots {
 				full++
 			}
-			f.selectors[vm].AddRequest(id, Online)
+			f.selectors[vm].AddRequest(now, id, Online)
 			f.inFlight[id] = append(f.inFlight[id], now.Add(run))
 			f.own[vm][id] = append(f.own[vm][id], now.Add(run))
 		}
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -75,7 +75,7 @@
 func (s *Scheduler) SetServers(records map[string]bergamotgrade.ServerRecord) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selector.SetServers(records)
+	s.selector.SetServers(s.clock.Now(), records)
 	s.schedule()
 }
 
@@ -130,6 +130,38 @@
 	return s.selector.Suspects(s.clock.Now())
 }
 
+// ObserveAnswer records the limit that an answer of the server names. changed is set if this
+// VM knew of another one.
+func (s *Scheduler) ObserveAnswer(serverID string, named bergamotgrade.RateLimit) (former bergamotgrade.RateLimit, changed bool) {
+	s.mu.Lock()
+	former = s.selector.ObserveAnswer(s.clock.Now(), serverID, named)
+	s.mu.Unlock()
+	if changed = former != named; changed {
+		s.onLoad()
+	}
+	return former, changed
+}
+
+// MergeRates takes over what other VMs have heard of the limits that servers name. liveVMs
+// returns the VMs that share them: those that take callers' requests, and all.
+func (s *Scheduler) MergeRates(rates []bergamotgrade.ServerRate, liveVMs func() (callers, all []string)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.selector.MergeRates(now, rates)
+	if s.selector.HasRates() {
+		callers, all := liveVMs()
+		s.selector.SetVMs(now, callers, all)
+	}
+}
+
+// Rates returns what this VM itself has recently heard of the limits that servers name.
+func (s *Scheduler) Rates() []bergamotgrade.ServerRate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Rates(s.clock.Now())
+}
+
 // HasServer reports whether any server of the service accepts new requests.
 func (s *Scheduler) HasServer(service string) bool {
 	s.mu.Lock()
@@ -251,7 +283,7 @@
 // start adds a request to the server's load and returns its slot; the caller holds the
 // lock.
 func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class) *Slot {
-	s.selector.AddRequest(server.ServerID, class)
+	s.selector.AddRequest(now, server.ServerID, class)
 	return &Slot{scheduler: s, server: server, class: class, startedAt: now}
 }
 
