A closed proxy of the tests refuses connections at once

Cause: the test's fault. The scripts run in parallel and start processes; between fork and exec a new process holds the listening socket of the proxy too, so the closed proxy still took connections, which broke when the process executed its program.

Change: the listener is shut down before it is closed, which ends listening whoever holds the socket.

--- a/tcpproxy/proxy.go
+++ b/tcpproxy/proxy.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Proxy forwards TCP connections to a target and injects faults into them.
@@ -67,11 +69,20 @@
 // Close closes the listener and resets all open connections; new connections are refused.
 func (p *Proxy) Close() {
 	p.mu.Lock()
-	_ = p.listener.Close()
+	stopListening(p.listener)
 	p.mu.Unlock()
 	p.ResetOpen()
 }
 
+// stopListening closes the listener. A process that this one has forked and that has not yet
+// executed its program holds the socket too, so closing alone would leave it listening.
+func stopListening(listener net.Listener) {
+	if raw, err := listener.(*net.TCPListener).SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { _ = unix.Shutdown(int(fd), unix.SHUT_RDWR) })
+	}
+	_ = listener.Close()
+}
+
 // Reopen listens on the same address again after Close; Run has to be called again.
 func (p *Proxy) Reopen() error {
 	listener, err := net.Listen("tcp", p.address)
