A store that is cut off answers no waiting watch either (test stand-in)

TestFollowerLeavesDisconnectedWatcher failed in 7 of 30 runs on untouched code.

Cause: the test's fault. The stand-in store failed new calls while it was cut off, but a watch that was already waiting still delivered the next change. The watcher then took the store for reachable, and its follower stayed with it for up to 0.65 s instead of 0.36 s. Evidence: the log of the failing runs has 'store reachable again' 0.1 ms after the cut.

--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -42,7 +42,11 @@
 	if err := s.checkReachable(); err != nil {
 		return nil, 0, err
 	}
-	return s.Store.Changes(ctx, prefix, after, wait)
+	changes, revision, err := s.Store.Changes(ctx, prefix, after, wait)
+	if cut := s.checkReachable(); cut != nil {
+		return nil, 0, cut // the call was waiting when the store was cut off
+	}
+	return changes, revision, err
 }
 
 func (s *disconnectableStore) KeepLease(ctx context.Context, id int64) error {
