--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -100,8 +100,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
-	if part, found, ok := g.find(now, parts); ok && now.Before(g.nextTrial(part, found)) {
-		return g.quarantineError(part, found)
+	if id, found, ok := g.find(now, parts); ok && now.Before(g.nextTrial(found)) {
+		return g.quarantineError(id, found)
 	}
 	return nil
 }
@@ -110,13 +110,14 @@
 func (g *Guard) Admit(ctx context.Context, parts []string) error {
 	g.mu.Lock()
 	now := g.config.Clock.Now()
-	part, found, ok := g.find(now, parts)
+	id, found, ok := g.find(now, parts)
 	if !ok {
 		g.mu.Unlock()
 		return nil
 	}
-	failure := g.quarantineError(part, found)
-	if now.Before(g.nextTrial(part, found)) || g.claiming[part] {
+	part := found.part
+	failure := g.quarantineError(id, found)
+	if now.Before(g.nextTrial(found)) || g.claiming[part] {
 		g.mu.Unlock()
 		return failure
 	}
@@ -129,15 +130,15 @@
 	return nil
 }
 
-// find returns the first part of the prompt that is quarantined. The caller holds the lock.
-func (g *Guard) find(now time.Time, parts []string) (partKey, culprit, bool) {
+// find returns the id of the first part of the prompt that is quarantined. The caller holds the
+// lock.
+func (g *Guard) find(now time.Time, parts []string) (id string, found culprit, ok bool) {
 	if len(g.quarantined) == 0 {
 		return "", culprit{}, false
 	}
 	for _, id := range parts {
-		part := newPartKey(id)
-		if found, ok := g.quarantined[part]; ok && !now.Before(found.confirmedAt.Add(confirmDelay)) {
-			return part, found, true
+		if found, ok := g.quarantined[newPartKey(id)]; ok && !now.Before(found.confirmedAt.Add(confirmDelay)) {
+			return id, found, true
 		}
 	}
 	return "", culprit{}, false
@@ -145,9 +146,9 @@
 
 // nextTrial returns when the next request with the part may be sent to a server. The caller
 // holds the lock.
-func (g *Guard) nextTrial(part partKey, found culprit) time.Time {
+func (g *Guard) nextTrial(found culprit) time.Time {
 	delay, at := firstTrialDelay, found.confirmedAt
-	if trial, ok := g.mirrored.trials[part]; ok && !trial.At.Before(found.confirmedAt) {
+	if trial, ok := g.mirrored.trials[found.part]; ok && !trial.At.Before(found.confirmedAt) {
 		at = trial.At
 		for range min(trial.Count, maxTrialDelays) {
 			delay *= trialDelayFactor
@@ -157,13 +158,13 @@
 }
 
 // quarantineError returns the error for a request with the part. The caller holds the lock.
-func (g *Guard) quarantineError(part partKey, found culprit) error {
-	retryAt := g.nextTrial(part, found)
+func (g *Guard) quarantineError(id string, found culprit) error {
+	retryAt := g.nextTrial(found)
 	if now := g.config.Clock.Now(); retryAt.Before(now) {
 		retryAt = now.Add(writeRetryDelay)
 	}
 	return bergamotgrade.NewError(bergamotgrade.KindPromptQuarantined, "several backend servers have ended under a part of the prompt", "change the prompt, or try again after the time in Retry-After").
-		WithRetryAt(retryAt).WithCause(errors.Newf("part %s, %d servers ended, the third at %s", part, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
+		WithRetryAt(retryAt).WithCause(errors.Newf("part %.64s with key %s, %d servers ended, the third at %s", id, found.part, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
 }
 
 // claimTrial records a trial in the store. It returns false if another VM has claimed it or
