--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -141,10 +141,15 @@
 }
 
 // The part stays away from servers when all VMs start again at the same time, when another VM
-// starts, and when a VM that could not reach the store and its peers' copies does again.
+// starts, and at a VM that does not reach the store all the while.
 func TestPromptPartEndsServersAfterRestart(t *testing.T) {
 	f := newCrashFleet(t, 8)
 	vms := []*testNode{f.addVM(1, true), f.addVM(2, true)}
+	cutOffStore := standin.NewStoreServer(f.store)
+	cutOff := f.addVMAt(4, true, f.serve(cutOffStore))
+	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(); return ok })
+	cutOffStore.SetFaults(standin.StoreFaults{Down: true})
+	f.waitFor("VM detects that it does not reach the store", 3*time.Second, cutOff.kv.Unreachable)
 	f.playUntilSettled(vms)
 	for _, vm := range vms {
 		vm.stop()
@@ -152,7 +157,7 @@
 	for _, vm := range vms {
 		<-vm.stopped
 	}
-	vms = []*testNode{f.addVM(1, true), f.addVM(2, true), f.addVM(3, true)}
+	vms = []*testNode{cutOff, f.addVM(1, true), f.addVM(2, true), f.addVM(3, true)}
 	settledAt := time.Now()
 	sent, served := f.play(vms, 3*time.Second)
 	qt.Check(t, f.crashingRuns(settledAt) <= maxLateRequests, qt.IsTrue, qt.Commentf("%d requests with the part reached servers, %d servers ended", f.crashingRuns(settledAt), f.crashes()))
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -54,8 +54,9 @@
 	server    bergamotgrade.ServerRecord
 	record    endRecord
 	confirmed bool
-	// unsaved is set while the store does not have the record.
-	unsaved bool
+	// unsaved is set while the store does not have the record, mirrored once it has been seen
+	// there.
+	unsaved, mirrored bool
 }
 
 // ownServed is a served part; it is written to the store at writeAt.
@@ -85,6 +86,14 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.mirrored = decoded
+	for start, end := range g.own {
+		_, found := decoded.ends[start][g.config.VMID]
+		if end.mirrored && !found {
+			delete(g.own, start) // somebody has deleted the record
+			continue
+		}
+		end.mirrored = found
+	}
 	g.decide()
 }
 
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -101,6 +101,16 @@
 		s.clock.now = s.clock.now.Add(d)
 	case "restart": // restart VM: its memory is lost
 		delete(s.guards, words[1])
+	case "delete": // an operator deletes the records of all ends
+		var keys []string
+		for key := range s.entries() {
+			if strings.HasPrefix(key, endPrefix) {
+				keys = append(keys, key)
+			}
+		}
+		if _, err := s.store.Commit(context.Background(), bergamotgrade.KeyCommit{Deletes: keys}); err != nil {
+			return err.Error()
+		}
 	case "cut", "join": // cut VM: it no longer reaches the store
 		s.cutOff[words[1]] = words[0] == "cut"
 	case "check": // check VM PART,...
