A VM that knows of no live VM keeps to the limits of servers

A leaving VM that hears of no other divided a limit by zero VMs and could send without limit (placement/testdata/named_limit_alone.txt failed before).

--- a/placement/server_rate.go
+++ b/placement/server_rate.go
@@ -136,7 +136,7 @@
 		limited[service]++
 		group := sel.rateGroup(s.rate.perSecond)
 		rank, score := sel.rateRank(id, group.vms)
-		if users := min(len(group.vms), int(group.burst)); rank < users {
+		if users := max(1, min(len(group.vms), int(group.burst))); rank < users {
 			s.rate.bucket.Resize(now, group.perSecond/float64(users), group.burst/float64(users))
 			usable[service] = true
 		} else {
@@ -151,7 +151,7 @@
 		sel.limitedShare[service] = float64(limited[service]) / float64(total[service])
 		if !usable[service] {
 			group := sel.rateGroup(s.rate.perSecond)
-			s.rate.bucket.Resize(now, group.perSecond/float64(len(group.vms)), 1)
+			s.rate.bucket.Resize(now, group.perSecond/float64(max(1, len(group.vms))), 1)
 		}
 	}
 }
