A request whose connections break ends few servers by itself (BUDGET)

One request under which servers end was sent again to as many servers as its route allows, five on the own interface, before any other request showed what is at fault.

Change: after two broken connections (three on the own interface) a request is answered with outcome_unknown, backend_failed there.

--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -41,6 +41,8 @@
 	// preemptions counts the preempted attempts. They count towards attempt ids but
 	// not towards maxAttempts.
 	preemptions int
+	// lostConnections counts the attempts whose connection broke.
+	lostConnections int
 	// mayHaveRun is set once a server may have executed an attempt.
 	mayHaveRun bool
 }
@@ -81,6 +83,7 @@
 			return nil
 		}
 		if ctx.Err() == nil && bergamotgrade.IsConnectionLoss(err) {
+			r.lostConnections++
 			d.guard.ConnectionLost(endedRecord(d.clock.Now(), slot.server), request.PromptParts)
 		}
 		if context.Cause(attemptCtx) == errPreempted && ctx.Err() == nil {
@@ -152,7 +155,7 @@
 	if !r.dispatcher.clock.Now().Before(r.deadline) {
 		return r.deadlineError()
 	}
-	if r.attempt >= maxAttempts || !r.dispatcher.budget.spend() {
+	if r.attempt >= maxAttempts || r.lostConnections >= maxLostConnections || !r.dispatcher.budget.spend() {
 		return r.markNotRun(bergamotgrade.NewError(bergamotgrade.KindBackendFailed, "the backend servers failed the request", "try again").WithCause(err))
 	}
 	r.dispatcher.ring.Record(timeline.KindRetry, r.requestID, slot.server.BackendServerID, "")
--- a/dispatch/constants.go
+++ b/dispatch/constants.go
@@ -5,6 +5,9 @@
 const (
 	// maxAttempts bounds the dispatches of one request.
 	maxAttempts = 5
+	// maxLostConnections bounds the attempts of one completion whose connection may break: the
+	// engines may end because of the request.
+	maxLostConnections = 3
 	// retriesPerRequest is the number of retries that one request adds to the budget.
 	retriesPerRequest = 0.2
 	// maxRetryTokens is the initial and largest balance of the retry budget: the retries
--- a/dispatch/quarantine_test.go
+++ b/dispatch/quarantine_test.go
@@ -83,8 +83,11 @@
 			RequestID: "r", Model: bergamotgrade.Model{ModelID: "m"}, Path: path, PromptParts: parts, Deadline: time.Now().Add(time.Second),
 		}, func(bergamotgrade.Chunk) error { return nil })
 	}
-	for _, question := range []string{"question 1", "question 2"} {
+	for _, question := range []string{"question 1", "question 2", "question 3"} {
+		before := len(backend.endedServers())
 		qt.Assert(t, complete(crashPath, "system", "bad", question), qt.IsNotNil)
+		qt.Assert(t, len(backend.endedServers())-before <= maxLostConnections, qt.IsTrue)
+		time.Sleep(400 * time.Millisecond)
 	}
 	time.Sleep(2 * time.Second)
 	before := len(backend.endedServers())
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,6 +93,8 @@
 	// that no server has run.
 	runs       int
 	rejections int
+	// lostConnections counts the attempts whose connection broke.
+	lostConnections int
 	// headSent is set once the response's head has been sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
@@ -256,9 +258,10 @@
 	slot.Release(placement.OutcomeFailed)
 	run.avoid[slot.Server().ServerID] = true
 	if bergamotgrade.IsConnectionLoss(cause) {
+		run.lostConnections++
 		run.relay.guard.ConnectionLost(slot.Server(), run.req.PromptParts)
 	}
-	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
+	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
 	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error(),
 		"attempt", run.runs, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "again", again)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -371,3 +371,12 @@
 	_, err = reader.Next()
 	qt.Assert(t, err, qt.Equals, io.ErrUnexpectedEOF)
 }
+
+// A request whose connections break is sent to two servers at most: they may end because of it.
+func TestRequestEndsOneServerAfterTheOther(t *testing.T) {
+	relay, s := newRelay(newScheduler("a", "b", "c", "d"), result{err: bergamotgrade.MaybeRan(io.ErrUnexpectedEOF)})
+	var out recorder
+	err := relay.Serve(context.Background(), newStreamRequest(true, 4), &out)
+	qt.Assert(t, bergamotgrade.IsKind(err, bergamotgrade.KindOutcomeUnknown), qt.IsTrue)
+	qt.Assert(t, s.servers, qt.HasLen, maxLostConnections)
+}
