Crashes that no request causes quarantine no part

Cause: servers that lose power at the same moment took requests of a common part with them, which counted as three ends at once; and a part that was served between two waves was cleared only from the third end on, too late.

Change: ends within 300 ms count as one, and parts are cleared from the second end on.

--- a/quarantine/constants.go
+++ b/quarantine/constants.go
@@ -6,9 +6,14 @@
 	// Prefix is the store's key prefix of all records.
 	Prefix = "quarantine/"
 
-	// endsToQuarantine is the number of servers that have to end under a part. Unrelated
-	// crashes seldom have a rare part in common, and common parts are served meanwhile.
+	// endsToQuarantine is the number of moments at which servers have to end under a part.
+	// Unrelated crashes seldom have a rare part in common, and common parts are served
+	// meanwhile.
 	endsToQuarantine = 3
+	// endsToSuspect is the number from which on VMs record that a part is served.
+	endsToSuspect = endsToQuarantine - 1
+	// sameMoment is the time within which ends count as one.
+	sameMoment = 300 * time.Millisecond
 	// confirmDelay is the time from the last of these ends until the quarantine begins. In it
 	// the VMs that serve requests with the part tell the others.
 	confirmDelay = 1500 * time.Millisecond
--- a/quarantine/culprit.go
+++ b/quarantine/culprit.go
@@ -12,23 +12,22 @@
 	parts map[partKey]int
 }
 
-// culprit is a part under which endsToQuarantine servers or more have ended.
+// culprit is a part under which servers have ended at endsToQuarantine moments or more.
 type culprit struct {
 	part partKey
-	// ends is the number of servers that ended under the part, and confirmedAt the time at
-	// which the number reached endsToQuarantine.
+	// ends is the number of these moments, and confirmedAt the time at which the number
+	// reached endsToQuarantine.
 	ends        int
 	confirmedAt time.Time
 }
 
-// findCulprits returns the parts that explain the ends. A server that ends takes all of its
+// findCulprits returns the parts that explain the ends, given in the order of their times. A server that ends takes all of its
 // requests with it, so the parts of sound requests stand beside the one at fault. The part
 // under which the most servers ended explains these ends, and what is left of the others has
 // to reach the number without them. Among equals the later part of the prompt is chosen: it
 // is shared by fewer requests.
 func findCulprits(ends []serverEnd) []culprit {
 	remaining := slices.Clone(ends)
-	slices.SortFunc(remaining, func(a, b serverEnd) int { return a.at.Compare(b.at) })
 	var culprits []culprit
 	for {
 		found := strongest(remaining)
@@ -61,13 +60,20 @@
 	return best
 }
 
-// countEnds counts the ends of each part. It also returns the largest position of the part and
-// when its count reached endsToQuarantine.
+// countEnds counts the ends of each part, which are in the order of their times. Ends at the same
+// moment count as one: what ends several servers at once is a cause that they share, or one
+// request that was sent again. It also returns the largest position of the part and when its
+// count reached endsToQuarantine.
 func countEnds(ends []serverEnd) (counts, positions map[partKey]int, confirmedAt map[partKey]time.Time) {
 	counts, positions, confirmedAt = map[partKey]int{}, map[partKey]int{}, map[partKey]time.Time{}
+	countedAt := map[partKey]time.Time{}
 	for _, end := range ends {
 		for part, position := range end.parts {
 			positions[part] = max(positions[part], position)
+			if last, counted := countedAt[part]; counted && end.at.Sub(last) < sameMoment {
+				continue
+			}
+			countedAt[part] = end.at
 			if counts[part]++; counts[part] == endsToQuarantine {
 				confirmedAt[part] = end.at
 			}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -40,8 +41,8 @@
 	own map[string]*ownEnd
 	// ownServed holds what this VM has served since the last end that it knows of.
 	ownServed map[partKey]ownServed
-	// suspects holds the parts with enough ends, also where another part explains these, with
-	// the revision of the newest one.
+	// suspects holds the parts with endsToSuspect ends or more, also where another part explains
+	// these, with the revision of the newest one.
 	suspects map[partKey]int64
 	// quarantined holds the parts that are quarantined from a time on.
 	quarantined map[partKey]culprit
@@ -173,7 +174,7 @@
 		retryAt = now.Add(writeRetryDelay)
 	}
 	return bergamotgrade.NewError(bergamotgrade.KindPromptQuarantined, "several backend servers have ended under a part of the prompt", "change the prompt, or try again after the time in Retry-After").
-		WithRetryAt(retryAt).WithCause(errors.Newf("part %.64s with key %s, %d servers ended, the third at %s", id, found.part, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
+		WithRetryAt(retryAt).WithCause(errors.Newf("part %.64s with key %s, servers ended %d times, the third time at %s", id, found.part, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
 }
 
 // claimTrial records a trial in the store. It returns false if another VM has claimed it or
@@ -285,7 +286,7 @@
 	counts, _, _ := countEnds(ends)
 	clear(g.suspects)
 	for part, count := range counts {
-		if count >= endsToQuarantine {
+		if count >= endsToSuspect {
 			g.suspects[part] = newest[part]
 		}
 	}
@@ -304,8 +305,8 @@
 	}
 }
 
-// countedEnds returns the ends with the parts that have not been served since, and the newest
-// revision of an end by part. The caller holds the lock.
+// countedEnds returns the ends, in the order of their times, with the parts that have not been
+// served since, and the newest revision of an end by part. The caller holds the lock.
 func (g *Guard) countedEnds(now time.Time) (ends []serverEnd, newest map[partKey]int64) {
 	newest = map[partKey]int64{}
 	byStart := map[string]*serverEnd{}
@@ -346,5 +347,6 @@
 	for _, end := range byStart {
 		ends = append(ends, *end)
 	}
+	slices.SortFunc(ends, func(a, b serverEnd) int { return a.at.Compare(b.at) })
 	return ends, newest
 }
