Selector: the VMs that only run batch items are a list of their own

The list was derived from two others for each limited server at each change, in the square of the number of VMs.

--- a/entry/view.go
+++ b/entry/view.go
@@ -259,15 +259,16 @@
 	return count
 }
 
-// requestingVMs returns the ids of the live VMs that take callers' requests and of all live
-// VMs, in order. VMs that are leaving are omitted.
-func (v *view) requestingVMs() (callers, all []string) {
+// requestingVMs returns the ids of the live VMs that take callers' requests, and of those that
+// only run batch items, in order. VMs that are leaving are omitted.
+func (v *view) requestingVMs() (callers, runners []string) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	add := func(id string, takesCallers bool) {
-		all = append(all, id)
 		if takesCallers {
 			callers = append(callers, id)
+		} else {
+			runners = append(runners, id)
 		}
 	}
 	if !v.leaving {
@@ -280,8 +281,8 @@
 		}
 	}
 	slices.Sort(callers)
-	slices.Sort(all)
-	return callers, all
+	slices.Sort(runners)
+	return callers, runners
 }
 
 // countVMs counts the live VMs, this VM included. The caller holds the lock.
--- a/placement/rate_test.go
+++ b/placement/rate_test.go
@@ -57,16 +57,16 @@
 		id := fmt.Sprint("server", i)
 		records[id] = bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: "here", Slots: 8}
 	}
-	var callerIDs, ids []string
+	var callerIDs, runnerIDs []string
 	for i := range callers + runners {
 		vm := &limitedVM{id: fmt.Sprintf("vm%03d", i)}
 		vm.selector = NewSelector(vm.id, "here")
 		vm.selector.SetServers(f.now, records)
-		ids = append(ids, vm.id)
 		if i < callers {
 			callerIDs = append(callerIDs, vm.id)
 			f.callers = append(f.callers, vm)
 		} else {
+			runnerIDs = append(runnerIDs, vm.id)
 			f.runners = append(f.runners, vm)
 		}
 	}
@@ -74,7 +74,7 @@
 		for i := range limitedServers {
 			vm.selector.ObserveAnswer(f.now, fmt.Sprint("server", i), bergamotgrade.RateLimit{Named: true, PerSecond: serverLimit})
 		}
-		vm.selector.SetVMs(f.now, callerIDs, ids)
+		vm.selector.SetVMs(f.now, callerIDs, runnerIDs)
 		vm.selector.SetRunners(runners, runners)
 	}
 	return f
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -79,18 +79,18 @@
 	localRunners, allRunners int
 	// reports counts the reports about other VMs.
 	reports uint64
-	// callers holds the ids of the live VMs that take callers' requests, vms those of all
-	// live VMs; they share the limits that servers name. rated is the number of servers of
-	// whose limits anything is known.
-	callers, vms []string
-	rated        int
+	// callers holds the ids of the live VMs that take callers' requests, runners those of the
+	// ones that only run batch items; they share the limits that servers name. rated is the
+	// number of servers of whose limits anything is known.
+	callers, runners []string
+	rated            int
 	// limitedShare holds the fraction of the servers of a service that name a limit.
 	limitedShare map[string]float64
 }
 
 // NewSelector returns a selector without servers for the VM.
 func NewSelector(vmID, dataCentre string) *Selector {
-	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, vms: []string{vmID}, limitedShare: map[string]float64{}}
+	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}}
 }
 
 // SetServers replaces the server records at the time now. A server without a record gets no new requests
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -46,17 +46,8 @@
 		all, _ := strconv.Atoi(f[2])
 		s.selector.SetRunners(local, all)
 	case "vms": // vms CALLER ... + RUNNER ...: the live VMs
-		var callers, all []string
-		takesCallers := true
-		for _, id := range f[1:] {
-			if takesCallers = takesCallers && id != "+"; takesCallers {
-				callers = append(callers, id)
-			}
-			if id != "+" {
-				all = append(all, id)
-			}
-		}
-		s.selector.SetVMs(s.now, callers, all)
+		callers, runners, _ := strings.Cut(strings.Join(f[1:], " "), "+")
+		s.selector.SetVMs(s.now, strings.Fields(callers), strings.Fields(runners))
 	case "answer": // answer id LIMIT: an answer names the limit, or none
 		limit, err := strconv.ParseFloat(f[2], 64)
 		s.selector.ObserveAnswer(s.now, f[1], bergamotgrade.RateLimit{Named: err == nil, PerSecond: limit})
--- a/placement/server_rate.go
+++ b/placement/server_rate.go
@@ -26,11 +26,11 @@
 // hasToken reports whether this VM may send the server a request.
 func (r *serverRate) hasToken(now time.Time) bool { return !r.limited || r.bucket.Level(now) >= 1 }
 
-// SetVMs replaces the ids of the live VMs that take callers' requests and of all live VMs,
-// this VM included.
-func (sel *Selector) SetVMs(now time.Time, callers, all []string) {
-	if !slices.Equal(sel.callers, callers) || !slices.Equal(sel.vms, all) {
-		sel.callers, sel.vms = callers, all
+// SetVMs replaces the ids of the live VMs that share the limits: those that take callers'
+// requests, and those that only run batch items. This VM is among them unless it is leaving.
+func (sel *Selector) SetVMs(now time.Time, callers, runners []string) {
+	if !slices.Equal(sel.callers, callers) || !slices.Equal(sel.runners, runners) {
+		sel.callers, sel.runners = callers, runners
 		sel.shareRates(now)
 	}
 }
@@ -134,7 +134,7 @@
 			continue
 		}
 		limited[service]++
-		group := sel.rateGroup(s.rate.perSecond)
+		group := sel.groupFor(s.rate.perSecond)
 		rank, score := sel.rateRank(id, group.vms)
 		if users := max(1, min(len(group.vms), int(group.burst))); rank < users {
 			s.rate.bucket.Resize(now, group.perSecond/float64(users), group.burst/float64(users))
@@ -150,7 +150,7 @@
 	for service, s := range best {
 		sel.limitedShare[service] = float64(limited[service]) / float64(total[service])
 		if !usable[service] {
-			group := sel.rateGroup(s.rate.perSecond)
+			group := sel.groupFor(s.rate.perSecond)
 			s.rate.bucket.Resize(now, group.perSecond/float64(max(1, len(group.vms))), 1)
 		}
 	}
@@ -163,23 +163,19 @@
 	perSecond, burst float64
 }
 
-// rateGroup returns the group of this VM for a limit: the VMs that take callers' requests, or
-// those that run batch items only. A limit counts requests, so the long runs of batch make more
+// groupFor returns the group of this VM for a limit: the VMs that take callers' requests, or
+// those that only run batch items. A limit counts requests, so the long runs of batch make more
 // of it than online requests, for which the other servers stay free; but only online requests
 // come in peaks, so the burst is theirs.
-func (sel *Selector) rateGroup(limit float64) rateGroup {
-	var runners []string
-	for _, vmID := range sel.vms {
-		if !slices.Contains(sel.callers, vmID) {
-			runners = append(runners, vmID)
-		}
-	}
+func (sel *Selector) groupFor(limit float64) rateGroup {
 	burst := max(1, limit*rateBurst.Seconds())
 	switch {
-	case len(sel.callers) == 0 || len(runners) == 0:
-		return rateGroup{sel.vms, limit, burst}
-	case slices.Contains(runners, sel.vmID):
-		return rateGroup{runners, limit * batchRateFraction, batchRateBurst}
+	case len(sel.runners) == 0:
+		return rateGroup{sel.callers, limit, burst}
+	case len(sel.callers) == 0:
+		return rateGroup{sel.runners, limit, burst}
+	case slices.Contains(sel.runners, sel.vmID):
+		return rateGroup{sel.runners, limit * batchRateFraction, batchRateBurst}
 	}
 	return rateGroup{sel.callers, limit * (1 - batchRateFraction), burst}
 }
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -143,15 +143,16 @@
 }
 
 // MergeRates takes over what other VMs have heard of the limits that servers name. liveVMs
-// returns the VMs that share them: those that take callers' requests, and all.
-func (s *Scheduler) MergeRates(rates []bergamotgrade.ServerRate, liveVMs func() (callers, all []string)) {
+// returns the VMs that share them: those that take callers' requests, and those that only
+// run batch items.
+func (s *Scheduler) MergeRates(rates []bergamotgrade.ServerRate, liveVMs func() (callers, runners []string)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	s.selector.MergeRates(now, rates)
 	if s.selector.HasRates() {
-		callers, all := liveVMs()
-		s.selector.SetVMs(now, callers, all)
+		callers, runners := liveVMs()
+		s.selector.SetVMs(now, callers, runners)
 	}
 }
 
