Soak: engines end under requests with one prompt part

A request with the part every 0.3 s at the entry VMs in turn; the engine ends and starts again 1 s later. BUDGET: at most three such requests reach engines later than 3 s after the fifth end, sent by VMs that no fault kept from learning of it.

--- a/soak/constants.go
+++ b/soak/constants.go
@@ -76,6 +76,20 @@
 	// retireTimeout is the time within which a retired disk VM must report that it is
 	// empty.
 	retireTimeout = 2 * time.Second
+	// crashingPart is the id of the prompt part under which engines end; a request with it is
+	// sent each crashInterval, and an engine that has ended starts again after
+	// crashRestartDelay.
+	crashingPart      = "crash"
+	crashInterval     = 300 * time.Millisecond
+	crashRestartDelay = time.Second
+	// crashSettleTime is the time after crashesToSettle ends of engines from which on at most
+	// maxLateCrashes of these requests may reach engines.
+	crashSettleTime = 3 * time.Second
+	crashesToSettle = 5
+	maxLateCrashes  = 3
+	// faultEndMargin is how much longer than planned ending a fault may take; planned stops
+	// may take stopGracePeriod.
+	faultEndMargin = time.Second
 	// rateWindow, rateOvershoot and rateSlack bound the limited team's requests: at most
 	// (rate × window + burst) × (1 + overshoot) + slack in any window.
 	rateWindow    = 5 * time.Second
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -229,7 +229,7 @@
 
 // newCaller returns a caller of the VM with the given key.
 func (f *fleet) newCaller(vm int, key string, client *http.Client) standin.Caller {
-	return standin.Caller{Address: f.callerProxies[vm].Address(), Key: key, Client: client}
+	return standin.Caller{Address: f.callerProxies[vm].Address(), Key: key, Client: client, PromptParts: fmt.Sprintf("shared%d:10,own:10", vm)}
 }
 
 // routeAllows reports whether the configuration routes the path to the service.
--- a/soak/run.go
+++ b/soak/run.go
@@ -57,8 +57,11 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	startedAt := time.Now()
+	injector := newInjector(f, plan, startedAt)
+	crasher := newCrasher(load, injector)
+	load.running.Go(func() { crasher.run(ctx) })
 	load.running.Go(func() {
-		newInjector(f, plan, startedAt).run()
+		injector.run()
 		time.Sleep(time.Until(startedAt.Add(options.Length)))
 		cancel()
 	})
@@ -66,6 +69,7 @@
 	load.recover()
 	load.awaitResults()
 	checker.checkEngines(f.engines)
+	crasher.check()
 	report.Totals, report.Violations = checker.totals(), checker.violations
 	return report, nil
 }
