Quarantine: a VM records all parts that it serves in one commit

In a fleet of hundreds of VMs each VM that serves suspected parts would have written each of them at a moment of its own, tens of commits a part before the others learn of it. Once one is due, all of a VM's are written together (TestServedPartsShareCommit: 4 in one commit, 1 before).

--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -152,6 +152,30 @@
 	qt.Check(t, len(s.entries()) <= 3, qt.IsTrue, qt.Commentf("%d records", len(s.entries())))
 }
 
+// A VM that serves several suspected parts records them in one commit.
+func TestServedPartsShareCommit(t *testing.T) {
+	s := newGuardScript()
+	for i := range endsToSuspect {
+		s.step([]string{"lost", "vm1", fmt.Sprint("e", i), "a,b,c,d"})
+		s.step([]string{"wait", "1s"})
+	}
+	s.step([]string{"sync"})
+	guard := s.guards["vm1"]
+	guard.config.VMs = func() int { return 1000 }
+	guard.Served([]string{"a", "b", "c", "d"})
+	guard.mu.Lock()
+	defer guard.mu.Unlock()
+	earliest := s.clock.now.Add(time.Hour)
+	for _, state := range guard.ownServed {
+		if state.writeAt.Before(earliest) {
+			earliest = state.writeAt
+		}
+	}
+	commit, _, served := guard.dueWrites(earliest)
+	qt.Assert(t, served, qt.HasLen, 4)
+	qt.Assert(t, commit.Writes, qt.HasLen, 4)
+}
+
 // A record that another program wrote in another form is ignored.
 func TestUndecodableRecordIsIgnored(t *testing.T) {
 	s := newGuardScript()
--- a/quarantine/writer.go
+++ b/quarantine/writer.go
@@ -133,8 +133,13 @@
 			ends[start] = len(end.record.Parts)
 		}
 	}
+	// Once one part is due, all are written: the other VMs then need not write them.
+	isDue := false
+	for _, state := range g.ownServed {
+		isDue = isDue || !state.saved && !now.Before(state.writeAt)
+	}
 	for part, state := range g.ownServed {
-		if state.saved || now.Before(state.writeAt) || len(commit.Writes) >= maxCommitEntries/2 {
+		if !isDue || state.saved || len(commit.Writes) >= maxCommitEntries/2 {
 			continue
 		}
 		if g.mirrored.served[part].Through >= state.record.Through {
