--- a/relay/constants.go
+++ b/relay/constants.go
@@ -11,8 +11,8 @@
 	// maxRejections bounds the attempts of one request that end without being run
 	// by a server.
 	maxRejections = 4
-	// maxLostConnections bounds the attempts of one request whose connection may break: the
-	// servers may end because of the request.
+	// maxLostConnections bounds the attempts of one request whose connection may break before
+	// any event: the servers may end because of the request.
 	maxLostConnections = 2
 	// maxBufferedBytes is the size up to which a response that is not an event
 	// stream is buffered completely before its head is sent, so that a truncated
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,8 +93,10 @@
 	// that no server has run.
 	runs       int
 	rejections int
-	// lostConnections counts the attempts whose connection broke.
+	// lostConnections counts the attempts whose connection broke before any event.
 	lostConnections int
+	// resumedAfter is the id of the last event before the current attempt.
+	resumedAfter string
 	// headSent is set once the response's head has been sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
@@ -160,7 +162,7 @@
 	}
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
-	run.sentAt, run.serverID = sentAt, server.ServerID
+	run.sentAt, run.serverID, run.resumedAfter = sentAt, server.ServerID, run.lastEventID
 	attempt := bergamotgrade.Attempt{
 		RequestID: req.RequestID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: req.Header, Body: req.Body, Team: req.Team,
@@ -258,7 +260,9 @@
 	slot.Release(placement.OutcomeFailed)
 	run.avoid[slot.Server().ServerID] = true
 	if bergamotgrade.IsConnectionLoss(cause) {
-		run.lostConnections++
+		if run.lastEventID == run.resumedAfter {
+			run.lostConnections++
+		}
 		run.relay.guard.ConnectionLost(slot.Server(), run.req.PromptParts)
 	}
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
