--- a/relay/relay.go
+++ b/relay/relay.go
@@ -26,6 +26,8 @@
 	// PromptParts holds the ids of the parts of the prompt in order; other requests may
 	// share them.
 	PromptParts []string
+	// Fingerprint is what the request has in common with its repeats.
+	Fingerprint string
 	Service     string
 	// Streams marks a request whose response is an event stream.
 	Streams bool
@@ -268,7 +270,7 @@
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
 	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error(),
-		"attempt", run.runs, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "again", again)
+		"attempt", run.runs, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
 	if again {
 		return false, nil
 	}
