--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -25,7 +25,7 @@
 func newCrasher(load *loadGenerator, injector *injector) *crasher {
 	c := &crasher{load: load, injector: injector}
 	for n, e := range load.fleet.engines {
-		e.CrashOn(crashingPart, func() { c.end(n) })
+		e.CrashOn(standin.WithPart(crashingPart), func() { c.end(n) })
 	}
 	return c
 }
