--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -36,6 +37,7 @@
 	pool       *poolDispatcher
 	requestID  string
 	deadline   time.Time
+	traits     bergamotgrade.RequestTraits
 	request    route.Request
 	attempt    int
 	// preemptions counts the preempted attempts. They count towards attempt ids but
@@ -57,35 +59,30 @@
 	}
 	d.budget.credit()
 	r := &requestRun{dispatcher: d, pool: pool, requestID: request.RequestID, deadline: request.Deadline}
+	r.traits = bergamotgrade.RequestTraits{
+		PromptParts: request.PromptParts,
+		Fingerprint: fingerprint(request.Class, request.Team, http.MethodPost, modelPoolName(request.Model), request.Path, request.Body),
+	}
 	r.request = route.Request{PrefixHash: request.PrefixHash, Avoid: map[string]bool{}}
 	if request.Model.BaseModelID != "" {
 		r.request.Allowed = idSet(request.Model.BackendServerIDs)
 	}
 	tokens := &tokenForwarder{run: r, sink: sink}
 	for {
-		if err := d.guard.Check(request.PromptParts); err != nil {
-			return r.markNotRun(err)
-		}
 		item := &queue.Item{TeamID: request.Team.TeamID, Weight: request.Team.Weight, Cost: request.Cost, Class: d.batchPolicy.queueClass(request.Class), Deadline: request.Deadline}
-		slot, err := pool.acquire(ctx, item, r.request)
+		slot, err := r.acquire(ctx, item)
 		if err != nil {
 			return r.markNotRun(err)
 		}
-		if err := d.guard.Admit(ctx, request.PromptParts); err != nil {
-			slot.release(route.OutcomeAborted)
-			return r.markNotRun(err)
-		}
+		sentAt := d.clock.Now()
 		attemptCtx, done := slot.makePreemptible(ctx, item.Class)
 		err = tokens.attempt(attemptCtx, slot, request)
 		done()
 		if err == nil {
-			d.guard.Served(request.PromptParts)
+			d.guard.Served(r.traits)
 			return nil
 		}
-		if ctx.Err() == nil && bergamotgrade.IsConnectionLoss(err) {
-			r.lostConnections++
-			d.guard.ConnectionLost(endedRecord(d.clock.Now(), slot.server), request.PromptParts)
-		}
+		r.recordConnectionLoss(ctx, slot, err, sentAt)
 		if context.Cause(attemptCtx) == errPreempted && ctx.Err() == nil {
 			slot.release(route.OutcomeAborted)
 			r.attempt-- // a preempted attempt does not count towards maxAttempts
@@ -98,6 +95,42 @@
 	}
 }
 
+// fingerprint returns the fingerprint of a request of a caller; it is empty for batch items,
+// which no caller repeats.
+func fingerprint(class queue.Class, team bergamotgrade.Team, method, pool, path string, body []byte) string {
+	if class != queue.ClassOnline {
+		return ""
+	}
+	return bergamotgrade.Fingerprint(team.TeamID, method, pool, path, body)
+}
+
+// acquire waits for a slot for the next attempt. It fails if servers have ended under the
+// request, which may become known while the request waits.
+func (r *requestRun) acquire(ctx context.Context, item *queue.Item) (*slot, error) {
+	guard := r.dispatcher.guard
+	if err := guard.Check(r.traits); err != nil {
+		return nil, err
+	}
+	slot, err := r.pool.acquire(ctx, item, r.request)
+	if err != nil {
+		return nil, err
+	}
+	if err := guard.Admit(ctx, r.traits); err != nil {
+		slot.release(route.OutcomeAborted)
+		return nil, err
+	}
+	return slot, nil
+}
+
+// recordConnectionLoss tells the guard if the connection broke during the attempt.
+func (r *requestRun) recordConnectionLoss(ctx context.Context, slot *slot, err error, sentAt time.Time) {
+	if ctx.Err() != nil || !bergamotgrade.IsConnectionLoss(err) {
+		return
+	}
+	r.lostConnections++
+	r.dispatcher.guard.ConnectionLost(endedRecord(r.dispatcher.clock.Now(), slot.server), r.traits, sentAt)
+}
+
 // endedRecord returns the record of the process of a server that ends now. Servers keep their
 // ids over restarts, so the time tells the processes apart.
 func endedRecord(now time.Time, server bergamotgrade.BackendServer) bergamotgrade.ServerRecord {
--- a/dispatch/dispatcher.go
+++ b/dispatch/dispatcher.go
@@ -21,7 +21,7 @@
 	ring        *timeline.Ring
 	policy      route.Policy
 	batchPolicy BatchPolicy
-	guard       bergamotgrade.PromptGuard
+	guard       bergamotgrade.RequestGuard
 	budget      *retryBudget
 	usage       usageCounter
 
@@ -30,8 +30,8 @@
 }
 
 // New returns a dispatcher without backend servers; SetState adds them. The guard decides
-// which completions are dispatched.
-func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, guard bergamotgrade.PromptGuard, ring *timeline.Ring, policy route.Policy, batchPolicy BatchPolicy) *Dispatcher {
+// which requests are dispatched.
+func New(clock bergamotgrade.Clock, backend bergamotgrade.Backend, guard bergamotgrade.RequestGuard, ring *timeline.Ring, policy route.Policy, batchPolicy BatchPolicy) *Dispatcher {
 	return &Dispatcher{clock: clock, backend: backend, guard: guard, ring: ring, policy: policy, batchPolicy: batchPolicy, budget: newRetryBudget(), pools: map[string]*poolDispatcher{}, usage: usageCounter{counts: map[usageKey]int{}}}
 }
 
--- a/dispatch/service.go
+++ b/dispatch/service.go
@@ -33,13 +33,17 @@
 	}
 	d.budget.credit()
 	r := &requestRun{dispatcher: d, pool: pool, requestID: request.RequestID, deadline: request.Deadline}
+	r.traits = bergamotgrade.RequestTraits{
+		Fingerprint: fingerprint(request.Class, request.Team, request.Method, servicePoolName(request.ServiceID), request.Path, request.Body),
+	}
 	r.request = route.Request{Avoid: map[string]bool{}}
 	for {
 		item := &queue.Item{TeamID: request.Team.TeamID, Weight: request.Team.Weight, Cost: 1, Class: d.batchPolicy.queueClass(request.Class), Deadline: request.Deadline}
-		slot, err := pool.acquire(ctx, item, r.request)
+		slot, err := r.acquire(ctx, item)
 		if err != nil {
 			return bergamotgrade.ServiceAnswer{}, r.markNotRun(err)
 		}
+		sentAt := d.clock.Now()
 		answer, err := d.backend.Call(ctx, slot.server, bergamotgrade.ServiceCall{
 			RequestID:  request.RequestID,
 			AttemptID:  r.nextAttemptID(slot),
@@ -52,8 +56,10 @@
 		})
 		if err == nil {
 			slot.release(route.OutcomeOK)
+			d.guard.Served(r.traits)
 			return answer, nil
 		}
+		r.recordConnectionLoss(ctx, slot, err, sentAt)
 		if err := r.handleFailure(ctx, slot, err, request.Idempotent); err != nil {
 			return bergamotgrade.ServiceAnswer{}, err
 		}
--- a/entry/node.go
+++ b/entry/node.go
@@ -124,7 +124,8 @@
 	n.metrics.Gauge("config_version", func() int64 { return n.view.configurationVersion() })
 	n.metrics.Gauge("jobs_owned", func() int64 { jobs, _ := n.runner.Count(); return int64(jobs) })
 	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
-	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { return int64(n.guard.Quarantined()) })
+	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { parts, _ := n.guard.Quarantined(); return int64(parts) })
+	n.metrics.Gauge("requests_quarantined", func() int64 { _, requests := n.guard.Quarantined(); return int64(requests) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
--- a/errors.go
+++ b/errors.go
@@ -13,56 +13,58 @@
 
 // The error kinds of the system.
 const (
-	KindInvalidRequest    ErrorKind = "invalid_request"
-	KindRequestTooLarge   ErrorKind = "request_too_large"
-	KindRequestTimeout    ErrorKind = "request_timeout"
-	KindKeyMissing        ErrorKind = "key_missing"
-	KindKeyUnknown        ErrorKind = "key_unknown"
-	KindKeyWithdrawn      ErrorKind = "key_withdrawn"
-	KindRouteUnknown      ErrorKind = "route_unknown"
-	KindModelUnknown      ErrorKind = "model_unknown"
-	KindRateExceeded      ErrorKind = "rate_exceeded"
-	KindOverloaded        ErrorKind = "overloaded"
-	KindDeadlineExceeded  ErrorKind = "deadline_exceeded"
-	KindNoBackendServer   ErrorKind = "no_backend_server"
-	KindBackendFailed     ErrorKind = "backend_failed"
-	KindOutcomeUnknown    ErrorKind = "outcome_unknown"
-	KindRequestInProgress ErrorKind = "request_in_progress"
-	KindKeyReused         ErrorKind = "idempotency_key_reused"
-	KindConflict          ErrorKind = "conflict"
-	KindPlatformDown      ErrorKind = "platform_unavailable"
-	KindNoteInvalid       ErrorKind = "note_invalid"
-	KindNotReady          ErrorKind = "not_ready"
-	KindTooManyConns      ErrorKind = "too_many_connections"
-	KindPromptQuarantined ErrorKind = "prompt_quarantined"
-	KindInternal          ErrorKind = "internal"
+	KindInvalidRequest     ErrorKind = "invalid_request"
+	KindRequestTooLarge    ErrorKind = "request_too_large"
+	KindRequestTimeout     ErrorKind = "request_timeout"
+	KindKeyMissing         ErrorKind = "key_missing"
+	KindKeyUnknown         ErrorKind = "key_unknown"
+	KindKeyWithdrawn       ErrorKind = "key_withdrawn"
+	KindRouteUnknown       ErrorKind = "route_unknown"
+	KindModelUnknown       ErrorKind = "model_unknown"
+	KindRateExceeded       ErrorKind = "rate_exceeded"
+	KindOverloaded         ErrorKind = "overloaded"
+	KindDeadlineExceeded   ErrorKind = "deadline_exceeded"
+	KindNoBackendServer    ErrorKind = "no_backend_server"
+	KindBackendFailed      ErrorKind = "backend_failed"
+	KindOutcomeUnknown     ErrorKind = "outcome_unknown"
+	KindRequestInProgress  ErrorKind = "request_in_progress"
+	KindKeyReused          ErrorKind = "idempotency_key_reused"
+	KindConflict           ErrorKind = "conflict"
+	KindPlatformDown       ErrorKind = "platform_unavailable"
+	KindNoteInvalid        ErrorKind = "note_invalid"
+	KindNotReady           ErrorKind = "not_ready"
+	KindTooManyConns       ErrorKind = "too_many_connections"
+	KindPromptQuarantined  ErrorKind = "prompt_quarantined"
+	KindRequestQuarantined ErrorKind = "request_quarantined"
+	KindInternal           ErrorKind = "internal"
 )
 
 // kindStatus maps each kind to the HTTP status of the response to the caller.
 var kindStatus = map[ErrorKind]int{
-	KindInvalidRequest:    http.StatusBadRequest,
-	KindRequestTooLarge:   http.StatusRequestEntityTooLarge,
-	KindRequestTimeout:    http.StatusRequestTimeout,
-	KindKeyMissing:        http.StatusUnauthorized,
-	KindKeyUnknown:        http.StatusUnauthorized,
-	KindKeyWithdrawn:      http.StatusUnauthorized,
-	KindRouteUnknown:      http.StatusNotFound,
-	KindModelUnknown:      http.StatusNotFound,
-	KindRateExceeded:      http.StatusTooManyRequests,
-	KindOverloaded:        http.StatusServiceUnavailable,
-	KindDeadlineExceeded:  http.StatusGatewayTimeout,
-	KindNoBackendServer:   http.StatusServiceUnavailable,
-	KindBackendFailed:     http.StatusBadGateway,
-	KindOutcomeUnknown:    http.StatusBadGateway,
-	KindRequestInProgress: http.StatusConflict,
-	KindKeyReused:         http.StatusUnprocessableEntity,
-	KindConflict:          http.StatusConflict,
-	KindPlatformDown:      http.StatusServiceUnavailable,
-	KindNoteInvalid:       http.StatusUnprocessableEntity,
-	KindNotReady:          http.StatusServiceUnavailable,
-	KindTooManyConns:      http.StatusServiceUnavailable,
-	KindPromptQuarantined: http.StatusServiceUnavailable,
-	KindInternal:          http.StatusInternalServerError,
+	KindInvalidRequest:     http.StatusBadRequest,
+	KindRequestTooLarge:    http.StatusRequestEntityTooLarge,
+	KindRequestTimeout:     http.StatusRequestTimeout,
+	KindKeyMissing:         http.StatusUnauthorized,
+	KindKeyUnknown:         http.StatusUnauthorized,
+	KindKeyWithdrawn:       http.StatusUnauthorized,
+	KindRouteUnknown:       http.StatusNotFound,
+	KindModelUnknown:       http.StatusNotFound,
+	KindRateExceeded:       http.StatusTooManyRequests,
+	KindOverloaded:         http.StatusServiceUnavailable,
+	KindDeadlineExceeded:   http.StatusGatewayTimeout,
+	KindNoBackendServer:    http.StatusServiceUnavailable,
+	KindBackendFailed:      http.StatusBadGateway,
+	KindOutcomeUnknown:     http.StatusBadGateway,
+	KindRequestInProgress:  http.StatusConflict,
+	KindKeyReused:          http.StatusUnprocessableEntity,
+	KindConflict:           http.StatusConflict,
+	KindPlatformDown:       http.StatusServiceUnavailable,
+	KindNoteInvalid:        http.StatusUnprocessableEntity,
+	KindNotReady:           http.StatusServiceUnavailable,
+	KindTooManyConns:       http.StatusServiceUnavailable,
+	KindPromptQuarantined:  http.StatusServiceUnavailable,
+	KindRequestQuarantined: http.StatusServiceUnavailable,
+	KindInternal:           http.StatusInternalServerError,
 }
 
 // Error is a failure with a kind, a message, a remedy for the caller or operator, and
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -80,7 +80,7 @@
 	}
 	slot.Release(outcome)
 	if outcome == placement.OutcomeFailed && bergamotgrade.IsConnectionLoss(err) {
-		runner.guard.ConnectionLost(server, i.item.PromptParts)
+		runner.guard.ConnectionLost(server, i.item.traits(), startedAt)
 	}
 	switch {
 	case err == nil:
@@ -147,7 +147,7 @@
 // attempt sends the item to the server, which resumes after lastEventID.
 func (i *ownedItem) attempt(ctx context.Context, server bergamotgrade.ServerRecord) (placement.Outcome, error) {
 	job := i.job
-	if err := job.runner.guard.Admit(ctx, i.item.PromptParts); err != nil {
+	if err := job.runner.guard.Admit(ctx, i.item.traits()); err != nil {
 		return placement.OutcomeAborted, err
 	}
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
@@ -184,7 +184,7 @@
 			return placement.OutcomeFailed, io.ErrUnexpectedEOF // the server ended before its first event
 		case err == io.EOF && len(i.text) > 0:
 			if !answer.EndsWithConnection {
-				i.job.runner.guard.Served(i.item.PromptParts)
+				i.job.runner.guard.Served(i.item.traits())
 			}
 			return placement.OutcomeServed, nil
 		case err == io.EOF:
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -32,7 +32,7 @@
 	fleet           Fleet
 	scheduler       *relay.Scheduler
 	exchanger       bergamotgrade.Exchanger
-	guard           bergamotgrade.PromptGuard
+	guard           bergamotgrade.RequestGuard
 	repository      *Repository
 	headCache       *HeadCache
 	observer        relay.Observer
@@ -61,7 +61,7 @@
 	Fleet       Fleet
 	Scheduler   *relay.Scheduler
 	Exchanger   bergamotgrade.Exchanger
-	Guard       bergamotgrade.PromptGuard
+	Guard       bergamotgrade.RequestGuard
 	Repository  *Repository
 	HeadCache   *HeadCache
 	Observer    relay.Observer
@@ -321,3 +321,7 @@
 	}
 	return header
 }
+
+func (i Item) traits() bergamotgrade.RequestTraits {
+	return bergamotgrade.RequestTraits{PromptParts: i.PromptParts}
+}
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -1,7 +1,7 @@
-// Package quarantine finds the prompt parts under which backend servers end and keeps
-// requests with them away from the servers. VMs record in the platform's store which parts
-// were running when a server ended, and which of them were served afterwards. Every VM
-// decides from a mirror of these records, so all decide alike, also after a restart.
+// Package quarantine finds the requests, and the parts of prompts, under which backend servers
+// end and keeps them away from the servers. VMs record in the platform's store what was
+// running when a server ended, and which of it was served afterwards. Every VM decides from a
+// mirror of these records, so all decide alike, also after a restart.
 package quarantine
 
 import (
@@ -29,7 +29,7 @@
 	Log *slog.Logger
 }
 
-// Guard implements bergamotgrade.PromptGuard. It is safe for concurrent use.
+// Guard implements bergamotgrade.RequestGuard. It is safe for concurrent use.
 type Guard struct {
 	config Config
 	// changed is signalled when run has something to do.
@@ -40,14 +40,16 @@
 	// own holds the ends that this VM has seen, by server start.
 	own map[string]*ownEnd
 	// ownServed holds what this VM has served since the last end that it knows of.
-	ownServed map[partKey]ownServed
-	// suspects holds the parts with endsToSuspect ends or more, also where another part explains
+	ownServed map[traitKey]ownServed
+	// recent holds the traits that this VM has served before servers ended under them.
+	recent *recentTraits
+	// suspects holds the traits with endsToSuspect ends or more, also where another one explains
 	// these, with the revision of the newest one.
-	suspects map[partKey]int64
-	// quarantined holds the parts that are quarantined from a time on.
-	quarantined map[partKey]culprit
-	// claiming holds the parts for which a trial is being claimed.
-	claiming map[partKey]bool
+	suspects map[traitKey]int64
+	// quarantined holds the traits that are quarantined from a time on.
+	quarantined map[traitKey]culprit
+	// claiming holds the traits for which a trial is being claimed.
+	claiming map[traitKey]bool
 }
 
 // ownEnd is a broken connection, and from its confirmation on the end of a server.
@@ -60,21 +62,21 @@
 	unsaved, mirrored bool
 }
 
-// ownServed is a served part; it is written to the store at writeAt.
+// ownServed is a served trait; it is written to the store at writeAt.
 type ownServed struct {
 	record  servedRecord
 	writeAt time.Time
 	saved   bool
 }
 
-var _ bergamotgrade.PromptGuard = (*Guard)(nil)
+var _ bergamotgrade.RequestGuard = (*Guard)(nil)
 
 // New returns a guard without records; SetEntries gives it those of the store, and Run writes
 // its own.
 func New(config Config) *Guard {
 	return &Guard{
-		config: config, changed: make(chan struct{}, 1), mirrored: newRecords(), own: map[string]*ownEnd{}, ownServed: map[partKey]ownServed{},
-		suspects: map[partKey]int64{}, quarantined: map[partKey]culprit{}, claiming: map[partKey]bool{},
+		config: config, changed: make(chan struct{}, 1), mirrored: newRecords(), own: map[string]*ownEnd{}, ownServed: map[traitKey]ownServed{}, recent: newRecentTraits(),
+		suspects: map[traitKey]int64{}, quarantined: map[traitKey]culprit{}, claiming: map[traitKey]bool{},
 	}
 }
 
@@ -98,67 +100,73 @@
 	g.decide()
 }
 
-// Quarantined returns the number of quarantined parts.
-func (g *Guard) Quarantined() int {
+// Quarantined returns the numbers of quarantined prompt parts and requests.
+func (g *Guard) Quarantined() (parts, requests int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return len(g.quarantined)
+	for trait := range g.quarantined {
+		if trait.isRequest() {
+			requests++
+		} else {
+			parts++
+		}
+	}
+	return parts, requests
 }
 
-// Check implements bergamotgrade.PromptGuard.
-func (g *Guard) Check(parts []string) error {
+// Check implements bergamotgrade.RequestGuard.
+func (g *Guard) Check(traits bergamotgrade.RequestTraits) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.config.Clock.Now()
-	if id, found, ok := g.find(now, parts); ok && now.Before(g.nextTrial(found)) {
-		return g.quarantineError(id, found)
+	if found, ok := g.find(now, traits); ok && now.Before(g.nextTrial(found)) {
+		return g.quarantineError(traits, found)
 	}
 	return nil
 }
 
-// Admit implements bergamotgrade.PromptGuard.
-func (g *Guard) Admit(ctx context.Context, parts []string) error {
+// Admit implements bergamotgrade.RequestGuard.
+func (g *Guard) Admit(ctx context.Context, traits bergamotgrade.RequestTraits) error {
 	g.mu.Lock()
 	now := g.config.Clock.Now()
-	id, found, ok := g.find(now, parts)
+	found, ok := g.find(now, traits)
 	if !ok {
 		g.mu.Unlock()
 		return nil
 	}
-	part := found.part
-	failure := g.quarantineError(id, found)
-	if now.Before(g.nextTrial(found)) || g.claiming[part] {
+	trait := found.trait
+	failure := g.quarantineError(traits, found)
+	if now.Before(g.nextTrial(found)) || g.claiming[trait] {
 		g.mu.Unlock()
 		return failure
 	}
-	g.claiming[part] = true
-	former := g.mirrored.trials[part]
+	g.claiming[trait] = true
+	former := g.mirrored.trials[trait]
 	g.mu.Unlock()
-	if !g.claimTrial(ctx, part, former) {
+	if !g.claimTrial(ctx, trait, former) {
 		return failure
 	}
 	return nil
 }
 
-// find returns the id of the first part of the prompt that is quarantined. The caller holds the
-// lock.
-func (g *Guard) find(now time.Time, parts []string) (id string, found culprit, ok bool) {
+// find returns the first of the traits that is quarantined. The caller holds the lock.
+func (g *Guard) find(now time.Time, traits bergamotgrade.RequestTraits) (found culprit, ok bool) {
 	if len(g.quarantined) == 0 {
-		return "", culprit{}, false
+		return culprit{}, false
 	}
-	for _, id := range parts {
-		if found, ok := g.quarantined[newPartKey(id)]; ok && !now.Before(found.confirmedAt.Add(confirmDelay)) {
-			return id, found, true
+	for _, trait := range traitKeys(traits) {
+		if found, ok := g.quarantined[trait]; ok && !now.Before(found.confirmedAt.Add(confirmDelay)) {
+			return found, true
 		}
 	}
-	return "", culprit{}, false
+	return culprit{}, false
 }
 
-// nextTrial returns when the next request with the part may be sent to a server. The caller
+// nextTrial returns when the next request with the trait may be sent to a server. The caller
 // holds the lock.
 func (g *Guard) nextTrial(found culprit) time.Time {
 	delay, at := firstTrialDelay, found.confirmedAt
-	if trial, ok := g.mirrored.trials[found.part]; ok && !trial.At.Before(found.confirmedAt) {
+	if trial, ok := g.mirrored.trials[found.trait]; ok && !trial.At.Before(found.confirmedAt) {
 		at = trial.At
 		for range min(trial.Count, maxTrialDelays) {
 			delay *= trialDelayFactor
@@ -167,19 +175,29 @@
 	return at.Add(delay)
 }
 
-// quarantineError returns the error for a request with the part. The caller holds the lock.
-func (g *Guard) quarantineError(id string, found culprit) error {
+// quarantineError returns the error for a request with the trait. The caller holds the lock.
+func (g *Guard) quarantineError(traits bergamotgrade.RequestTraits, found culprit) error {
 	retryAt := g.nextTrial(found)
 	if now := g.config.Clock.Now(); retryAt.Before(now) {
 		retryAt = now.Add(writeRetryDelay)
 	}
-	return bergamotgrade.NewError(bergamotgrade.KindPromptQuarantined, "several backend servers have ended under a part of the prompt", "change the prompt, or try again after the time in Retry-After").
-		WithRetryAt(retryAt).WithCause(errors.Newf("part %.64s with key %s, servers ended %d times, the third time at %s", id, found.part, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
+	name := traits.Fingerprint
+	kind, message, remedy := bergamotgrade.KindPromptQuarantined, "several backend servers have ended under a part of the prompt", "change the prompt, or try again after the time in Retry-After"
+	if found.trait.isRequest() {
+		kind, message, remedy = bergamotgrade.KindRequestQuarantined, "several backend servers have ended under this request", "change the request, or try again after the time in Retry-After"
+	}
+	for _, id := range traits.PromptParts {
+		if newPartKey(id) == found.trait {
+			name = id
+		}
+	}
+	return bergamotgrade.NewError(kind, message, remedy).WithRetryAt(retryAt).
+		WithCause(errors.Newf("trait %.64s with key %s, servers ended %d times, the third time at %s", name, found.trait, found.ends, found.confirmedAt.Format(time.RFC3339Nano)))
 }
 
 // claimTrial records a trial in the store. It returns false if another VM has claimed it or
 // the store does not answer.
-func (g *Guard) claimTrial(ctx context.Context, part partKey, former trialRecord) bool {
+func (g *Guard) claimTrial(ctx context.Context, trait traitKey, former trialRecord) bool {
 	trial := trialRecord{At: g.config.Clock.Now(), Count: former.Count + 1}
 	value, err := encode(trial)
 	var result bergamotgrade.CommitResult
@@ -187,25 +205,25 @@
 		callCtx, cancel := context.WithTimeout(ctx, trialTimeout)
 		defer cancel()
 		result, err = g.config.Store.Commit(callCtx, bergamotgrade.KeyCommit{
-			Expected: map[string]int64{trialKey(part): former.revision}, Writes: []bergamotgrade.KeyWrite{{Key: trialKey(part), Value: value}},
+			Expected: map[string]int64{trialKey(trait): former.revision}, Writes: []bergamotgrade.KeyWrite{{Key: trialKey(trait), Value: value}},
 		})
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	delete(g.claiming, part)
+	delete(g.claiming, trait)
 	if err != nil || !result.Applied() {
-		g.config.Log.Info("trial of a quarantined prompt part not claimed", "part", part, "trials", former.Count, "error", err)
+		g.config.Log.Info("trial of a quarantined trait not claimed", "trait", trait, "trials", former.Count, "error", err)
 		return false
 	}
 	trial.revision = result.Revision
-	g.mirrored.trials[part] = trial
-	g.config.Log.Info("one request with a quarantined prompt part is let through", "part", part, "trials", trial.Count)
+	g.mirrored.trials[trait] = trial
+	g.config.Log.Info("one request with a quarantined trait is let through", "trait", trait, "trials", trial.Count)
 	return true
 }
 
-// ConnectionLost implements bergamotgrade.PromptGuard.
-func (g *Guard) ConnectionLost(server bergamotgrade.ServerRecord, parts []string) {
-	if len(parts) == 0 {
+// ConnectionLost implements bergamotgrade.RequestGuard.
+func (g *Guard) ConnectionLost(server bergamotgrade.ServerRecord, traits bergamotgrade.RequestTraits, sentAt time.Time) {
+	if len(traits.PromptParts) == 0 && traits.Fingerprint == "" {
 		return
 	}
 	g.mu.Lock()
@@ -216,16 +234,10 @@
 		if len(g.own) >= maxOwnEnds {
 			g.dropOldestOwn()
 		}
-		end = &ownEnd{server: server, record: endRecord{At: g.config.Clock.Now(), Parts: map[partKey]int{}}}
+		end = &ownEnd{server: server, record: newEndRecord(g.config.Clock.Now())}
 		g.own[start] = end
 	}
-	for position, id := range parts {
-		part := newPartKey(id)
-		if _, known := end.record.Parts[part]; !known && len(end.record.Parts) < maxParts {
-			end.record.Parts[part] = position
-			end.unsaved = true
-		}
-	}
+	end.unsaved = end.record.add(traits, sentAt) || end.unsaved
 	if end.confirmed {
 		g.decide()
 	}
@@ -243,23 +255,26 @@
 	delete(g.own, oldest)
 }
 
-// Served implements bergamotgrade.PromptGuard.
-func (g *Guard) Served(parts []string) {
+// Served implements bergamotgrade.RequestGuard.
+func (g *Guard) Served(traits bergamotgrade.RequestTraits) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	keys := traitKeys(traits)
+	for _, trait := range keys {
+		g.recent.add(trait)
+	}
 	if len(g.suspects) == 0 {
 		return
 	}
 	now := g.config.Clock.Now()
-	for _, id := range parts {
-		part := newPartKey(id)
-		through, suspected := g.suspects[part]
-		if !suspected || g.ownServed[part].record.Through >= through {
+	for _, trait := range keys {
+		through, suspected := g.suspects[trait]
+		if !suspected || g.ownServed[trait].record.Through >= through {
 			continue
 		}
 		delay := time.Duration(rand.Int64N(int64(servedDelayPerVM)*int64(max(1, g.config.VMs())) + 1))
-		g.ownServed[part] = ownServed{record: servedRecord{At: now, Through: through}, writeAt: now.Add(delay)}
-		g.config.Log.Info("prompt part is served although servers have ended under it", "part", part, "revision", through)
+		g.ownServed[trait] = ownServed{record: servedRecord{At: now, Through: through}, writeAt: now.Add(delay)}
+		g.config.Log.Info("trait is served although servers have ended under it", "trait", trait, "revision", through)
 		g.decide()
 		g.signal()
 	}
@@ -272,10 +287,10 @@
 	}
 }
 
-// servedThrough returns the revision through which the ends under the part do not count. The
+// servedThrough returns the revision through which the ends under the trait do not count. The
 // caller holds the lock.
-func (g *Guard) servedThrough(part partKey) int64 {
-	return max(g.mirrored.served[part].Through, g.ownServed[part].record.Through)
+func (g *Guard) servedThrough(trait traitKey) int64 {
+	return max(g.mirrored.served[trait].Through, g.ownServed[trait].record.Through)
 }
 
 // decide brings suspects and quarantined up to date with the records. The caller holds the
@@ -283,32 +298,32 @@
 func (g *Guard) decide() {
 	now := g.config.Clock.Now()
 	ends, newest := g.countedEnds(now)
-	counts, _, _ := countEnds(ends)
+	tallies := countEnds(ends, g.recent.has)
 	clear(g.suspects)
-	for part, count := range counts {
-		if count >= endsToSuspect {
-			g.suspects[part] = newest[part]
+	for trait, counted := range tallies {
+		if counted.separate >= endsToSuspect {
+			g.suspects[trait] = newest[trait]
 		}
 	}
 	before := g.quarantined
-	g.quarantined = map[partKey]culprit{}
-	for _, found := range findCulprits(ends) {
-		g.quarantined[found.part] = found
-		if _, known := before[found.part]; !known {
-			g.config.Log.Warn("prompt part quarantined; several servers have ended under it", "part", found.part, "ends", found.ends, "revision", newest[found.part], "from", found.confirmedAt.Add(confirmDelay))
+	g.quarantined = map[traitKey]culprit{}
+	for _, found := range findCulprits(ends, g.recent.has) {
+		g.quarantined[found.trait] = found
+		if _, known := before[found.trait]; !known {
+			g.config.Log.Warn("trait quarantined; several servers have ended under requests with it", "trait", found.trait, "ends", found.ends, "revision", newest[found.trait], "from", found.confirmedAt.Add(confirmDelay))
 		}
 	}
-	for part := range before {
-		if _, still := g.quarantined[part]; !still {
-			g.config.Log.Info("prompt part no longer quarantined", "part", part, "ends", counts[part], "served_through", g.servedThrough(part))
+	for trait := range before {
+		if _, still := g.quarantined[trait]; !still {
+			g.config.Log.Info("trait no longer quarantined", "trait", trait, "ends", tallies[trait].separate, "served_through", g.servedThrough(trait))
 		}
 	}
 }
 
-// countedEnds returns the ends, in the order of their times, with the parts that have not been
-// served since, and the newest revision of an end by part. The caller holds the lock.
-func (g *Guard) countedEnds(now time.Time) (ends []serverEnd, newest map[partKey]int64) {
-	newest = map[partKey]int64{}
+// countedEnds returns the ends, in the order of their times, with the traits that have not been
+// served since, and the newest revision of an end by trait. The caller holds the lock.
+func (g *Guard) countedEnds(now time.Time) (ends []serverEnd, newest map[traitKey]int64) {
+	newest = map[traitKey]int64{}
 	byStart := map[string]*serverEnd{}
 	add := func(start string, record endRecord) {
 		if isOld(now, record.At) {
@@ -316,7 +331,7 @@
 		}
 		end, ok := byStart[start]
 		if !ok {
-			end = &serverEnd{at: record.At, parts: map[partKey]int{}}
+			end = &serverEnd{at: record.At, traits: map[traitKey]evidence{}}
 			byStart[start] = end
 		}
 		if record.At.Before(end.at) {
@@ -326,12 +341,12 @@
 		if revision == 0 {
 			revision = math.MaxInt64
 		}
-		for part, position := range record.Parts {
-			if revision <= g.servedThrough(part) {
+		for trait, found := range record.evidence() {
+			if revision <= g.servedThrough(trait) {
 				continue
 			}
-			end.parts[part] = max(end.parts[part], position)
-			newest[part] = max(newest[part], record.revision)
+			end.traits[trait] = end.traits[trait].merge(found)
+			newest[trait] = max(newest[trait], record.revision)
 		}
 	}
 	for start, byVM := range g.mirrored.ends {
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -88,12 +88,17 @@
 
 func (s *guardScript) step(words []string) string {
 	switch words[0] {
-	case "lost": // lost VM SERVER PART,... : a request with the parts breaks at the server
-		s.guard(words[1]).ConnectionLost(bergamotgrade.ServerRecord{ServerID: words[2], StartedAt: time.Unix(900, 0)}, strings.Split(words[3], ","))
+	case "lost": // lost VM SERVER TRAIT,... [RUN] : a request breaks at the server after the run time
+		sentAt := s.clock.now
+		if len(words) > 4 {
+			d, _ := time.ParseDuration(words[4])
+			sentAt = sentAt.Add(-d)
+		}
+		s.guard(words[1]).ConnectionLost(bergamotgrade.ServerRecord{ServerID: words[2], StartedAt: time.Unix(900, 0)}, parseTraits(words[3]), sentAt)
 	case "alive": // alive SERVER: the server accepts connections
 		s.alive[words[1]] = true
-	case "served": // served VM PART,... : a request with the parts is answered completely
-		s.guard(words[1]).Served(strings.Split(words[2], ","))
+	case "served": // served VM TRAIT,... : a request is answered completely
+		s.guard(words[1]).Served(parseTraits(words[2]))
 	case "sync":
 		s.sync()
 	case "wait":
@@ -113,18 +118,31 @@
 		}
 	case "cut", "join": // cut VM: it no longer reaches the store
 		s.cutOff[words[1]] = words[0] == "cut"
-	case "check": // check VM PART,...
-		return outcome(s.guard(words[1]).Check(strings.Split(words[2], ",")))
-	case "admit": // admit VM PART,...
-		return outcome(s.guard(words[1]).Admit(context.Background(), strings.Split(words[2], ",")))
+	case "check": // check VM TRAIT,...
+		return outcome(s.guard(words[1]).Check(parseTraits(words[2])))
+	case "admit": // admit VM TRAIT,...
+		return outcome(s.guard(words[1]).Admit(context.Background(), parseTraits(words[2])))
 	default:
 		return "unknown step"
 	}
 	return ""
 }
 
+// parseTraits parses a list of prompt parts; a word that begins with @ is a fingerprint.
+func parseTraits(list string) bergamotgrade.RequestTraits {
+	var traits bergamotgrade.RequestTraits
+	for word := range strings.SplitSeq(list, ",") {
+		if fingerprint, ok := strings.CutPrefix(word, "@"); ok {
+			traits.Fingerprint = fingerprint
+		} else {
+			traits.PromptParts = append(traits.PromptParts, word)
+		}
+	}
+	return traits
+}
+
 func outcome(err error) string {
-	if bergamotgrade.IsKind(err, bergamotgrade.KindPromptQuarantined) {
+	if bergamotgrade.IsKind(err, bergamotgrade.KindPromptQuarantined) || bergamotgrade.IsKind(err, bergamotgrade.KindRequestQuarantined) {
 		return "refused"
 	}
 	return fmt.Sprint(err)
@@ -162,7 +180,7 @@
 	s.step([]string{"sync"})
 	guard := s.guards["vm1"]
 	guard.config.VMs = func() int { return 1000 }
-	guard.Served([]string{"a", "b", "c", "d"})
+	guard.Served(parseTraits("a,b,c,d"))
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
 	earliest := s.clock.now.Add(time.Hour)
@@ -183,5 +201,5 @@
 		{Key: endPrefix + "e/vm", Value: []byte("{")}, {Key: trialPrefix + "x", Value: []byte(`{"count":"y"}`)}, {Key: Prefix + "else", Value: nil},
 	}})
 	qt.Assert(t, err, qt.IsNil)
-	qt.Assert(t, outcome(s.guard("vm1").Check([]string{"a"})), qt.Equals, "<nil>")
+	qt.Assert(t, outcome(s.guard("vm1").Check(parseTraits("a"))), qt.Equals, "<nil>")
 }
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -11,14 +11,33 @@
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
-// partKey identifies a prompt part in records; it has a fixed length, unlike the ids that
-// callers send.
-type partKey string
+// traitKey identifies a prompt part or a request in records; it has a fixed length, unlike the
+// ids that callers send.
+type traitKey string
 
-func newPartKey(id string) partKey { return partKey(fmt.Sprintf("%016x", xxhash.Sum64String(id))) }
+// requestKeyPrefix tells the keys of requests from those of prompt parts.
+const requestKeyPrefix = "request-"
 
-// Key prefixes of the three kinds of records; the server's start and the VM, or the part,
-// follow.
+func newPartKey(id string) traitKey { return traitKey(fmt.Sprintf("%016x", xxhash.Sum64String(id))) }
+
+func newRequestKey(fingerprint string) traitKey { return traitKey(requestKeyPrefix + fingerprint) }
+
+func (k traitKey) isRequest() bool { return strings.HasPrefix(string(k), requestKeyPrefix) }
+
+// traitKeys returns the keys of all traits.
+func traitKeys(traits bergamotgrade.RequestTraits) []traitKey {
+	keys := make([]traitKey, 0, len(traits.PromptParts)+1)
+	for _, id := range traits.PromptParts {
+		keys = append(keys, newPartKey(id))
+	}
+	if traits.Fingerprint != "" {
+		keys = append(keys, newRequestKey(traits.Fingerprint))
+	}
+	return keys
+}
+
+// Key prefixes of the three kinds of records; the server's start and the VM, or the key of the
+// trait, follow.
 const (
 	endPrefix    = Prefix + "end/"
 	servedPrefix = Prefix + "served/"
@@ -29,20 +48,59 @@
 type endRecord struct {
 	At time.Time `json:"at"`
 	// Parts holds the parts of the prompts of these requests, with their positions.
-	Parts map[partKey]int `json:"parts"`
+	Parts map[traitKey]int `json:"parts"`
+	// Requests holds when each of these requests was last sent to the server.
+	Requests map[traitKey]time.Time `json:"requests,omitempty"`
 	// revision is the revision of the store at which the record was written; zero while it
 	// is not.
 	revision int64
 }
 
-// servedRecord says that a part was served after servers had ended under it.
+func newEndRecord(at time.Time) endRecord {
+	return endRecord{At: at, Parts: map[traitKey]int{}, Requests: map[traitKey]time.Time{}}
+}
+
+// add adds the traits of a request that was sent to the server at sentAt, and reports whether
+// the record has changed.
+func (r *endRecord) add(traits bergamotgrade.RequestTraits, sentAt time.Time) (changed bool) {
+	for position, id := range traits.PromptParts {
+		part := newPartKey(id)
+		if _, known := r.Parts[part]; !known && len(r.Parts) < maxParts {
+			r.Parts[part] = position
+			changed = true
+		}
+	}
+	if traits.Fingerprint == "" {
+		return changed
+	}
+	request := newRequestKey(traits.Fingerprint)
+	if before, known := r.Requests[request]; sentAt.After(before) && (known || len(r.Requests) < maxRequests) {
+		r.Requests[request] = sentAt
+		changed = true
+	}
+	return changed
+}
+
+// evidence returns what the record says of each trait.
+func (r *endRecord) evidence() map[traitKey]evidence {
+	found := make(map[traitKey]evidence, len(r.Parts)+len(r.Requests))
+	for part, position := range r.Parts {
+		found[part] = evidence{position: position}
+	}
+	for request, sentAt := range r.Requests {
+		found[request] = evidence{position: requestPosition, sentAt: sentAt}
+	}
+	return found
+}
+
+// servedRecord says that requests with a trait were served after servers had ended under it.
 type servedRecord struct {
 	At time.Time `json:"at"`
 	// Through is the revision of the newest end that the writer knew of.
 	Through int64 `json:"through"`
 }
 
-// trialRecord says when a request with a quarantined part was last let through.
+// trialRecord says when a request with a quarantined trait was last let through.
 type trialRecord struct {
 	At time.Time `json:"at"`
 	// Count is the number of trials so far.
@@ -57,8 +115,8 @@
 }
 
 func endKey(start, vmID string) string       { return endPrefix + start + "/" + vmID }
-func servedKey(part partKey) string          { return servedPrefix + string(part) }
-func trialKey(part partKey) string           { return trialPrefix + string(part) }
+func servedKey(trait traitKey) string        { return servedPrefix + string(trait) }
+func trialKey(trait traitKey) string         { return trialPrefix + string(trait) }
 func encode(record any) ([]byte, error)      { return json.Marshal(record) }
 func isOld(now time.Time, at time.Time) bool { return now.Sub(at) > retention }
 
@@ -66,8 +124,8 @@
 type records struct {
 	// ends holds the records by server start and VM.
 	ends   map[string]map[string]endRecord
-	served map[partKey]servedRecord
-	trials map[partKey]trialRecord
+	served map[traitKey]servedRecord
+	trials map[traitKey]trialRecord
 	// times holds when each record was written, by key.
 	times map[string]time.Time
 	// revision is the newest revision of an end.
@@ -75,7 +133,7 @@
 }
 
 func newRecords() records {
-	return records{ends: map[string]map[string]endRecord{}, served: map[partKey]servedRecord{}, trials: map[partKey]trialRecord{}, times: map[string]time.Time{}}
+	return records{ends: map[string]map[string]endRecord{}, served: map[traitKey]servedRecord{}, trials: map[traitKey]trialRecord{}, times: map[string]time.Time{}}
 }
 
 // decodeRecords decodes the entries below Prefix. It returns the keys of those that cannot be
@@ -107,7 +165,7 @@
 		if err := json.Unmarshal(entry.Value, &record); err != nil {
 			return err
 		}
-		r.served[partKey(strings.TrimPrefix(key, servedPrefix))] = record
+		r.served[traitKey(strings.TrimPrefix(key, servedPrefix))] = record
 		r.times[key] = record.At
 	case strings.HasPrefix(key, trialPrefix):
 		var record trialRecord
@@ -115,7 +173,7 @@
 			return err
 		}
 		record.revision = entry.Revision
-		r.trials[partKey(strings.TrimPrefix(key, trialPrefix))] = record
+		r.trials[traitKey(strings.TrimPrefix(key, trialPrefix))] = record
 		r.times[key] = record.At
 	}
 	return nil
--- a/quarantine/writer.go
+++ b/quarantine/writer.go
@@ -58,7 +58,7 @@
 			continue
 		}
 		end.confirmed = true
-		g.config.Log.Info("backend server ended while it ran requests", "server", end.server.ServerID, "started_at", end.server.StartedAt, "parts", end.record.Parts)
+		g.config.Log.Info("backend server ended while it ran requests", "server", end.server.ServerID, "started_at", end.server.StartedAt, "parts", end.record.Parts, "requests", end.record.Requests)
 	}
 	g.decide()
 }
@@ -77,22 +77,26 @@
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	result, err := g.config.Store.Commit(callCtx, commit)
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if err != nil {
 		g.config.Log.Warn("quarantine records cannot be written; retrying", "records", len(commit.Writes), "cause", err.Error())
+		for _, start := range ends {
+			if end, ok := g.own[start]; ok {
+				end.unsaved = true
+			}
+		}
 		return writeRetryDelay
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for start, written := range ends {
+	for _, start := range ends {
 		if end, ok := g.own[start]; ok {
 			end.record.revision = result.Revision
-			end.unsaved = len(end.record.Parts) > written
 		}
 	}
-	for _, part := range served {
-		state := g.ownServed[part]
+	for _, trait := range served {
+		state := g.ownServed[trait]
 		state.saved = true
-		g.ownServed[part] = state
+		g.ownServed[trait] = state
 	}
 	g.mirrored.revision = max(g.mirrored.revision, result.Revision)
 	g.decide()
@@ -106,19 +110,18 @@
 			delete(g.own, start)
 		}
 	}
-	for part, served := range g.ownServed {
+	for trait, served := range g.ownServed {
 		if isOld(now, served.record.At) {
-			delete(g.ownServed, part)
+			delete(g.ownServed, trait)
 		}
 	}
 	g.decide()
 }
 
-// dueWrites returns a commit of the records that are due, with the number of parts of each
-// written end and the parts that are recorded as served. It also deletes records that are old
-// or too many. The caller holds the lock.
-func (g *Guard) dueWrites(now time.Time) (commit bergamotgrade.KeyCommit, ends map[string]int, served []partKey) {
-	ends = map[string]int{}
+// dueWrites returns a commit of the records that are due, with the start of each written end
+// and the traits that are recorded as served. It also deletes records that are old or too
+// many. The caller holds the lock.
+func (g *Guard) dueWrites(now time.Time) (commit bergamotgrade.KeyCommit, ends []string, served []traitKey) {
 	add := func(key string, record any) bool {
 		value, err := encode(record)
 		if err != nil {
@@ -130,23 +133,24 @@
 	}
 	for start, end := range g.own {
 		if end.confirmed && end.unsaved && len(commit.Writes) < maxCommitEntries/2 && add(endKey(start, g.config.VMID), end.record) {
-			ends[start] = len(end.record.Parts)
+			ends = append(ends, start)
+			end.unsaved = false
 		}
 	}
-	// Once one part is due, all are written: the other VMs then need not write them.
+	// Once one trait is due, all are written: the other VMs then need not write them.
 	isDue := false
 	for _, state := range g.ownServed {
 		isDue = isDue || !state.saved && !now.Before(state.writeAt)
 	}
-	for part, state := range g.ownServed {
+	for trait, state := range g.ownServed {
 		if !isDue || state.saved || len(commit.Writes) >= maxCommitEntries/2 {
 			continue
 		}
-		if g.mirrored.served[part].Through >= state.record.Through {
+		if g.mirrored.served[trait].Through >= state.record.Through {
 			state.saved = true // another VM was faster
-			g.ownServed[part] = state
-		} else if add(servedKey(part), state.record) {
-			served = append(served, part)
+			g.ownServed[trait] = state
+		} else if add(servedKey(trait), state.record) {
+			served = append(served, trait)
 		}
 	}
 	if len(commit.Writes) > 0 {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -49,6 +49,10 @@
 	ResumeAfter string
 }
 
+func (req *Request) traits() bergamotgrade.RequestTraits {
+	return bergamotgrade.RequestTraits{PromptParts: req.PromptParts, Fingerprint: req.Fingerprint}
+}
+
 // Responder sends the response of one request to the caller.
 type Responder interface {
 	// Begin sends status and headers; length is -1 if the body's length is unknown.
@@ -62,7 +66,7 @@
 	clock     bergamotgrade.Clock
 	scheduler *Scheduler
 	exchanger bergamotgrade.Exchanger
-	guard     bergamotgrade.PromptGuard
+	guard     bergamotgrade.RequestGuard
 	log       *slog.Logger
 	observer  Observer
 }
@@ -76,7 +80,7 @@
 }
 
 // New returns a relay that sends the requests that the guard admits through the exchanger.
-func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, guard bergamotgrade.PromptGuard, log *slog.Logger, observer Observer) *Relay {
+func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, guard bergamotgrade.RequestGuard, log *slog.Logger, observer Observer) *Relay {
 	return &Relay{clock: clock, scheduler: scheduler, exchanger: exchanger, guard: guard, log: log, observer: observer}
 }
 
@@ -146,7 +150,7 @@
 // follows.
 func (run *requestRun) attempt(ctx context.Context) (done bool, err error) {
 	req := run.req
-	if err := run.relay.guard.Check(req.PromptParts); err != nil {
+	if err := run.relay.guard.Check(req.traits()); err != nil {
 		return true, err
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
@@ -157,8 +161,8 @@
 	if err != nil {
 		return true, run.contextError(ctx, err)
 	}
-	// What this VM knows of the prompt may have changed while the request waited.
-	if err := run.relay.guard.Admit(ctx, req.PromptParts); err != nil {
+	// What this VM knows of the request may have changed while the request waited.
+	if err := run.relay.guard.Admit(ctx, req.traits()); err != nil {
 		slot.Release(placement.OutcomeAborted)
 		return true, run.contextError(ctx, err)
 	}
@@ -219,7 +223,7 @@
 		if answer.Status >= http.StatusInternalServerError {
 			outcome = placement.OutcomeFailed
 		} else if !answer.EndsWithConnection {
-			run.relay.guard.Served(run.req.PromptParts)
+			run.relay.guard.Served(run.req.traits())
 		}
 		// Closes the body before the slot is released, so that the next request for
 		// the slot can reuse the connection.
@@ -265,7 +269,7 @@
 		if run.lastEventID == run.resumedAfter {
 			run.lostConnections++
 		}
-		run.relay.guard.ConnectionLost(slot.Server(), run.req.PromptParts)
+		run.relay.guard.ConnectionLost(slot.Server(), run.req.traits(), run.sentAt)
 	}
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
--- a/prompt_guard.go
+++ b/request_guard.go
@@ -4,24 +4,35 @@
 	"context"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 )
 
-// PromptGuard keeps requests away from the backend servers if their prompts contain a part
-// under which several servers have ended. Parts are given by their ids, in the order of the
-// prompt.
-type PromptGuard interface {
-	// Check fails with KindPromptQuarantined and the time of the next trial if a part of the
-	// prompt is quarantined.
-	Check(parts []string) error
+// RequestTraits are what a request may have in common with others, so that servers may end
+// under all of them.
+type RequestTraits struct {
+	// PromptParts holds the ids of the parts of the prompt, in order.
+	PromptParts []string
+	// Fingerprint is that of the request and its repeats; empty for batch items, which no
+	// caller repeats.
+	Fingerprint string
+}
+
+// RequestGuard keeps requests away from the backend servers if several servers have ended
+// under requests with one of their traits.
+type RequestGuard interface {
+	// Check fails with KindPromptQuarantined or KindRequestQuarantined and the time of the
+	// next trial if one of the traits is quarantined.
+	Check(traits RequestTraits) error
 	// Admit is called right before a request is sent to a server. It fails as Check does,
 	// but one request of the fleet is let through when the time of a trial has come.
-	Admit(ctx context.Context, parts []string) error
-	// ConnectionLost records that the connection to the server broke during a request.
-	ConnectionLost(server ServerRecord, parts []string)
+	Admit(ctx context.Context, traits RequestTraits) error
+	// ConnectionLost records that the connection to the server broke during a request that
+	// was sent to it at sentAt.
+	ConnectionLost(server ServerRecord, traits RequestTraits, sentAt time.Time)
 	// Served records that a request was answered completely.
-	Served(parts []string)
+	Served(traits RequestTraits)
 }
 
 // ServerProber probes backend servers.
