Batch items under which servers ended stay owed

Callers saw items that were not done for 20 s and longer, on the own interface even given up with an error, after servers had ended under them three times, whatever had ended the servers.

Cause: an item was refused like a request while a part of its prompt was quarantined, and every end of a server counted against all parts of all items that ran there, which run for seconds and are there when anything ends their server. On the own interface a lost connection counted as a failure of the item.

Change: only ends before an item's first event count. An item under which three servers in a row ended so, or with a quarantined part, runs in its VM's suspect lane, one at a time with a pause of 2 to 8 s after an end; it is never refused. On the own interface lost connections and quarantines are no failures of an item, and the delay before its next attempt doubles up to 8 s.

--- a/caller/executor.go
+++ b/caller/executor.go
@@ -22,8 +22,10 @@
 	// itemAttemptTimeout is the maximum duration of one attempt of a batch item, including
 	// the time in the queue.
 	itemAttemptTimeout = 20 * time.Minute
-	// itemRetryDelay is the delay before a batch item is retried.
-	itemRetryDelay = 250 * time.Millisecond
+	// itemRetryDelay is the delay before a batch item is retried. Where a server has ended under
+	// the item it doubles up to maxItemRetryDelay.
+	itemRetryDelay    = 250 * time.Millisecond
+	maxItemRetryDelay = 8 * time.Second
 )
 
 // Executor runs the items of batch jobs in the lowest priority class. It implements
@@ -85,9 +87,10 @@
 	return name, servicePath, route, err
 }
 
-// Execute implements batch.Executor.
+// Execute implements batch.Executor. An item under which servers ended is still owed: only
+// failures that servers report count against it.
 func (e *Executor) Execute(ctx context.Context, job batch.Job, item batch.Item) (batch.Result, error) {
-	failures := 0
+	failures, delay := 0, itemRetryDelay
 	for {
 		result, err := e.attempt(ctx, job, item)
 		if err == nil {
@@ -97,13 +100,16 @@
 			return batch.Result{}, context.Cause(ctx)
 		}
 		failure := bergamotgrade.AsError(err)
-		if !isTransient(failure.Kind()) {
+		switch {
+		case bergamotgrade.IsConnectionLoss(err):
+			delay = min(2*delay, maxItemRetryDelay)
+		case !isTransient(failure.Kind()):
 			failures++
 		}
 		if failures >= maxItemFailures || !e.mayRetry(item, failure) {
 			return batch.Result{Error: &batch.ResultError{Code: string(failure.Kind()), Message: failure.Message() + "; " + failure.Remedy()}}, nil
 		}
-		if !bergamotgrade.Sleep(ctx, itemRetryDelay) {
+		if !bergamotgrade.Sleep(ctx, delay) {
 			return batch.Result{}, context.Cause(ctx)
 		}
 	}
@@ -113,7 +119,7 @@
 // failures are retried without limit.
 func isTransient(kind bergamotgrade.ErrorKind) bool {
 	switch kind {
-	case bergamotgrade.KindOverloaded, bergamotgrade.KindNotReady, bergamotgrade.KindRateExceeded, bergamotgrade.KindNoBackendServer:
+	case bergamotgrade.KindOverloaded, bergamotgrade.KindNotReady, bergamotgrade.KindRateExceeded, bergamotgrade.KindNoBackendServer, bergamotgrade.KindPromptQuarantined:
 		return true
 	}
 	return false
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -49,9 +49,13 @@
 	// finalAttemptDelay is the delay before the last attempt that an item has left. It
 	// gives a server's fault time to pass; due times are several times longer.
 	finalAttemptDelay = 2 * time.Second
-	// quarantineCheckInterval is the delay before an item with a quarantined prompt part is
-	// looked at again. It stays in its job until the route's retention time is over.
-	quarantineCheckInterval = 2 * time.Second
+	// endsToSuspect is the number of servers that end under an item in a row, before its first
+	// event, from which on it runs in the suspect lane.
+	endsToSuspect = 3
+	// minSuspectPause and maxSuspectPause bound the pause of the suspect lane after a server
+	// has ended; due times are several times longer.
+	minSuspectPause = 2 * time.Second
+	maxSuspectPause = 8 * time.Second
 	// stallTimeout is the time without data after which an item is resumed at another
 	// server.
 	stallTimeout = 2 * time.Second
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -42,6 +42,9 @@
 	avoid         map[string]bool
 	// failures is the number of attempts in which a server ran the item and failed.
 	failures int
+	// ends is the number of attempts in a row whose connection broke before any event. The
+	// job's lock guards it.
+	ends int
 }
 
 // batchSlot is a server slot with a context that ends when an online request
@@ -67,33 +70,64 @@
 	return &batchSlot{Slot: slot, ctx: ctx}
 }
 
-// run makes one attempt at the item and then finishes, abandons or requeues it.
-func (i *ownedItem) run(slot *batchSlot, maxAttempts int) {
+// isSuspect reports whether servers may end under the item: they did in its last attempts, or
+// under requests with a part of its prompt.
+func (i *ownedItem) isSuspect() bool {
+	i.job.mu.Lock()
+	ends := i.ends
+	i.job.mu.Unlock()
+	return ends >= endsToSuspect || i.job.runner.guard.IsQuarantined(i.item.traits())
+}
+
+// recordResult counts what the attempt tells of the item. Only ends of servers before the first
+// event speak against its prompt: later ones take sound items with them.
+func (i *ownedItem) recordResult(server bergamotgrade.ServerRecord, result attemptResult, sentAt time.Time) {
+	i.job.mu.Lock()
+	switch result {
+	case resultServerEnded:
+		i.ends++
+	case resultProgress:
+		i.ends = 0
+	}
+	i.job.mu.Unlock()
+	if result == resultServerEnded {
+		i.job.runner.guard.ConnectionLost(server, i.item.traits(), sentAt)
+	}
+}
+
+// run makes one attempt at the item and then finishes, abandons or requeues it. suspect tells
+// that the item has taken the suspect lane.
+func (i *ownedItem) run(slot *batchSlot, maxAttempts int, suspect bool) {
 	runner := i.job.runner
 	server := slot.Server()
 	startedAt := runner.clock.Now()
-	notResumed, failuresBefore := i.lastEventID == "", i.failures
+	eventBefore, failuresBefore := i.lastEventID, i.failures
 	outcome, err := i.attempt(slot.ctx, server)
 	preempted := errors.Is(context.Cause(slot.ctx), relay.ErrPreempted)
 	if slot.ctx.Err() != nil && err != nil {
 		outcome = placement.OutcomeAborted
 	}
 	slot.Release(outcome)
-	if outcome == placement.OutcomeFailed && bergamotgrade.IsConnectionLoss(err) {
-		runner.guard.ConnectionLost(server, i.item.traits(), startedAt)
+	result := resultUnknown
+	switch {
+	case err == nil || i.lastEventID != eventBefore:
+		result = resultProgress
+	case outcome == placement.OutcomeFailed && bergamotgrade.IsConnectionLoss(err):
+		result = resultServerEnded
+	}
+	i.recordResult(server, result, startedAt)
+	if suspect {
+		runner.leaveSuspectLane(result)
 	}
 	switch {
 	case err == nil:
 		runner.observer.Count("items_done")
 		runTime := runner.clock.Now().Sub(startedAt)
 		runner.observer.Observe("item", runTime)
-		if notResumed {
+		if eventBefore == "" {
 			runner.recordRunTime(runTime)
 		}
 		i.job.finish(i, Result{ItemID: i.item.ItemID, State: ResultDone, Text: strings.Join(i.text, "\n")})
-	case bergamotgrade.IsKind(err, bergamotgrade.KindPromptQuarantined):
-		runner.observer.Count("items_quarantined")
-		i.requeue(quarantineCheckInterval)
 	case errors.Is(err, errUnprocessable):
 		i.abandon("server " + server.ServerID + " reported that it cannot process the item")
 	case i.failures >= maxAttempts:
@@ -147,9 +181,6 @@
 // attempt sends the item to the server, which resumes after lastEventID.
 func (i *ownedItem) attempt(ctx context.Context, server bergamotgrade.ServerRecord) (placement.Outcome, error) {
 	job := i.job
-	if err := job.runner.guard.Admit(ctx, i.item.traits()); err != nil {
-		return placement.OutcomeAborted, err
-	}
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
 		RequestID: i.item.ItemID, Method: http.MethodPost, Target: i.item.Path, Host: job.spec.Host,
 		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -49,6 +49,7 @@
 	// meanRunTime is the moving average of the run times of items that were not
 	// resumed; zero until the first is done.
 	meanRunTime time.Duration
+	suspects    suspectLane
 	// stopping is set by Stop; no job or item is started afterwards.
 	stopping bool
 }
@@ -233,13 +234,35 @@
 		if fullServices[service] {
 			continue
 		}
+		suspect := item.isSuspect()
+		if suspect && !r.enterSuspectLane(now) {
+			continue
+		}
 		slot := item.acquire(ctx, service)
 		if slot == nil {
+			if suspect {
+				r.leaveSuspectLane(resultUnknown)
+			}
 			fullServices[service] = true
 			continue
 		}
-		r.running.Go(func() { item.run(slot, route.MaxAttempts) })
+		r.running.Go(func() { item.run(slot, route.MaxAttempts, suspect) })
+	}
+}
+
+func (r *Runner) enterSuspectLane(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.suspects.enter(now)
+}
+
+func (r *Runner) leaveSuspectLane(result attemptResult) {
+	if result != resultUnknown {
+		r.observer.Count("suspect_items_run")
 	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.suspects.leave(r.clock.Now(), result)
 }
 
 // waitingItems returns the items that may start now, the most urgent first.
--- a/quarantine/guard.go
+++ b/quarantine/guard.go
@@ -125,6 +125,14 @@
 	return nil
 }
 
+// IsQuarantined implements bergamotgrade.RequestGuard.
+func (g *Guard) IsQuarantined(traits bergamotgrade.RequestTraits) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	_, ok := g.find(g.config.Clock.Now(), traits)
+	return ok
+}
+
 // Admit implements bergamotgrade.RequestGuard.
 func (g *Guard) Admit(ctx context.Context, traits bergamotgrade.RequestTraits) error {
 	g.mu.Lock()
--- a/request_guard.go
+++ b/request_guard.go
@@ -25,6 +25,8 @@
 	// Check fails with KindPromptQuarantined or KindRequestQuarantined and the time of the
 	// next trial if one of the traits is quarantined.
 	Check(traits RequestTraits) error
+	// IsQuarantined reports whether one of the traits is quarantined, trial or not.
+	IsQuarantined(traits RequestTraits) bool
 	// Admit is called right before a request is sent to a server. It fails as Check does,
 	// but one request of the fleet is let through when the time of a trial has come.
 	Admit(ctx context.Context, traits RequestTraits) error
