--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -203,3 +203,27 @@
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, outcome(s.guard("vm1").Check(parseTraits("a"))), qt.Equals, "<nil>")
 }
+
+// Waves of crashes whose records fill the store must not displace the records of a quarantined
+// request.
+func TestCrashWavesDisplaceQuarantine(t *testing.T) {
+	s := newGuardScript()
+	for i := range endsToQuarantine {
+		s.step([]string{"lost", "vm1", fmt.Sprint("bad", i), "a,b,@r"})
+		s.step([]string{"wait", "400ms"})
+	}
+	s.step([]string{"sync"})
+	const lostPerSync = 10 // which VMs write before they see each other's records
+	for i := range 2 * maxRecords {
+		s.step([]string{"lost", fmt.Sprint("vm", i%5), fmt.Sprint("e", i/5), fmt.Sprintf("a,c%d,@s%d", i, i)})
+		if i%lostPerSync == lostPerSync-1 {
+			s.step([]string{"wait", "20ms"})
+			s.step([]string{"sync"})
+			s.step([]string{"served", "vm1", "a"})
+		}
+	}
+	s.step([]string{"restart", "vm1"})
+	qt.Check(t, s.step([]string{"check", "vm1", "b,@r"}), qt.Equals, "refused")
+	qt.Check(t, s.step([]string{"check", "vm2", "@r"}), qt.Equals, "refused")
+	qt.Check(t, len(s.entries()) <= maxRecords+lostPerSync, qt.IsTrue, qt.Commentf("%d records", len(s.entries())))
+}
--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -185,3 +185,24 @@
 	}
 	r.ends[start][vmID] = record
 }
+
+// keysOf returns the keys of the records that concern one of the traits.
+func (r *records) keysOf(traits map[traitKey]culprit) map[string]bool {
+	keys := map[string]bool{}
+	if len(traits) == 0 {
+		return keys
+	}
+	for trait := range traits {
+		keys[servedKey(trait)], keys[trialKey(trait)] = true, true
+	}
+	for start, byVM := range r.ends {
+		for vmID, record := range byVM {
+			for trait := range record.evidence() {
+				if _, ok := traits[trait]; ok {
+					keys[endKey(start, vmID)] = true
+				}
+			}
+		}
+	}
+	return keys
+}
--- a/quarantine/writer.go
+++ b/quarantine/writer.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -162,16 +163,28 @@
 	return commit, ends, served
 }
 
-// surplusKeys returns up to most keys of records that are old, or that exceed maxRecords, the
-// oldest first. The caller holds the lock.
+// surplusKeys returns up to most keys of records that are old, or that exceed maxRecords: the
+// oldest first, and those on which a quarantine rests last. The caller holds the lock.
 func (g *Guard) surplusKeys(now time.Time, most int) []string {
 	keys := make([]string, 0, len(g.mirrored.times))
 	for key := range g.mirrored.times {
 		keys = append(keys, key)
 	}
-	slices.SortFunc(keys, func(a, b string) int { return g.mirrored.times[a].Compare(g.mirrored.times[b]) })
+	needed := g.mirrored.keysOf(g.quarantined)
+	rank := func(key string) int {
+		switch {
+		case isOld(now, g.mirrored.times[key]):
+			return 0
+		case !needed[key]:
+			return 1
+		}
+		return 2
+	}
+	slices.SortFunc(keys, func(a, b string) int {
+		return cmp.Or(cmp.Compare(rank(a), rank(b)), g.mirrored.times[a].Compare(g.mirrored.times[b]))
+	})
 	surplus := max(0, len(keys)-maxRecords)
-	for surplus < len(keys) && isOld(now, g.mirrored.times[keys[surplus]]) {
+	for surplus < len(keys) && rank(keys[surplus]) == 0 {
 		surplus++
 	}
 	return keys[:min(surplus, most)]
