--- a/entry/node.go
+++ b/entry/node.go
@@ -290,7 +290,7 @@
 	n.mu.Unlock()
 	for id, record := range records {
 		if known, ok := before[id]; !ok || known != record {
-			n.log.Info("backend server registered", "server", id, "service", record.Service, "address", record.Address, "draining", record.Draining, "started_at", record.StartedAt)
+			n.log.Info("backend server registered", "server", id, "service", record.Service, "address", record.Address, "version", record.SoftwareVersion, "draining", record.Draining, "started_at", record.StartedAt)
 		}
 	}
 	for id := range before {
--- a/fleet.go
+++ b/fleet.go
@@ -176,6 +176,9 @@
 	Service    string
 	Address    string
 	DataCentre string
+	// SoftwareVersion is that of the server's software, not of its weights. What two versions
+	// write does not fit together in one stream.
+	SoftwareVersion string
 	// Slots is the number of requests that the server runs concurrently.
 	Slots    int
 	Draining bool
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -47,6 +47,8 @@
 	// ResumeAfter is the id of the last event that the caller has received; empty
 	// starts with the first event.
 	ResumeAfter string
+	// Resumes is the id of the request that brought the caller the first event.
+	Resumes string
 }
 
 func (req *Request) traits() bergamotgrade.RequestTraits {
@@ -273,8 +275,8 @@
 	}
 	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
-	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error(),
-		"attempt", run.runs, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
+	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "version", slot.Server().SoftwareVersion, "cause", cause.Error(),
+		"attempt", run.runs, "resumes", run.req.Resumes, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
 	if again {
 		return false, nil
 	}
