--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -65,8 +65,11 @@
 	f.write(write)
 }
 
-func (f *testFleet) addEngine(id string) *standin.Engine {
-	engine := standin.NewEngine(standin.EngineConfig{ServerID: id, Service: "svc", DataCentre: "here", Slots: 4, EventTime: 10 * time.Millisecond})
+func (f *testFleet) addEngine(id string) *standin.Engine { return f.addEngineOf(id, "") }
+
+// addEngineOf adds an engine with a version of its software.
+func (f *testFleet) addEngineOf(id, version string) *standin.Engine {
+	engine := standin.NewEngine(standin.EngineConfig{ServerID: id, Service: "svc", DataCentre: "here", Version: version, Slots: 4, EventTime: 10 * time.Millisecond})
 	f.write(engine.RegistryWrite(f.serve(engine), "ready"))
 	f.engines[id] = engine
 	return engine
