--- a/entry/node.go
+++ b/entry/node.go
@@ -17,6 +17,7 @@
 	"github.com/bergamotgrade/bergamotgrade/follow"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/jobs"
+	"github.com/bergamotgrade/bergamotgrade/origin"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/platform"
 	"github.com/bergamotgrade/bergamotgrade/quarantine"
@@ -38,6 +39,7 @@
 	scheduler     *relay.Scheduler
 	backend       *platform.BackendClient
 	guard         *quarantine.Guard
+	origins       *origin.Tracker
 	gossip        *gossip.Node
 	peers         *vm.Peers
 	peerServer    *vm.Server
@@ -74,12 +76,13 @@
 	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, log)
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
+	n.origins = origin.New(n.clock, n, log)
 	innerAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
 	var err error
 	n.gossip, err = gossip.New(gossip.Config{
 		VMID: settings.VMID, Incarnation: n.incarnation,
 		Self:   gossip.Peer{Address: innerAddress, DataCentre: settings.DataCentre, Weight: settings.Cores},
-		Status: n.status, Receive: n.handleReport, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), Log: log,
+		Status: n.status, Receive: n.handleReport, ReceiveStreams: n.origins.Receive, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -99,7 +102,7 @@
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, log, n.metrics), service, n.metrics, log)
+	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics), service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -298,6 +301,7 @@
 			n.log.Info("backend server no longer registered", "server", id)
 		}
 	}
+	n.origins.SetServers(records)
 	n.scheduler.SetServers(records)
 }
 
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -8,12 +8,14 @@
 	"strconv"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/follow"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/jobs"
+	"github.com/bergamotgrade/bergamotgrade/origin"
 	"github.com/bergamotgrade/bergamotgrade/vm"
 )
 
@@ -27,6 +29,8 @@
 	methodResults = "results"
 	// methodBucketLevels requests the level of each team's token bucket.
 	methodBucketLevels = "levels"
+	// methodStreamOrigin requests what a VM knows of the origin of a stream.
+	methodStreamOrigin = "stream_origin"
 )
 
 // copyCall requests a copy of a prefix that is newer than a position.
@@ -63,6 +67,8 @@
 		return vm.DecodeAndHandle(*params, func(call resultsCall) any { return n.repository.Cached(call.JobID, call.From) })
 	case methodBucketLevels:
 		return vm.DecodeAndHandle(*params, func(struct{}) any { return n.view.bucketLevels() })
+	case methodStreamOrigin:
+		return vm.DecodeAndHandle(*params, func(question origin.Question) any { return n.origins.Answer(question) })
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
 }
@@ -94,6 +100,25 @@
 	return results
 }
 
+// Keepers implements origin.Fleet.
+func (n *Node) Keepers(key uint64, most int, live bool) []string {
+	return n.view.keepers(key, most, live)
+}
+
+// SendRecords implements origin.Fleet.
+func (n *Node) SendRecords(vmID string, records []bergamotgrade.StreamRecord) {
+	n.gossip.SendStreams(vmID, records)
+}
+
+// AskOrigin implements origin.Fleet.
+func (n *Node) AskOrigin(ctx context.Context, vmID string, question origin.Question) (origin.Answer, error) {
+	address, ok := n.view.peerAddresses()[vmID]
+	if !ok {
+		return origin.Answer{}, errors.Newf("VM %s is not registered", vmID)
+	}
+	return vm.Call[origin.Answer](ctx, n.peers, address, methodStreamOrigin, question)
+}
+
 // Source implements follow.Peers.
 func (n *Node) Source(prefix string) (follow.Source, bool) {
 	vmID, address, role := n.view.source(n.settings.DataCentre, n.kv.Unreachable())
--- a/entry/view.go
+++ b/entry/view.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"log/slog"
@@ -212,6 +213,23 @@
 	return addresses
 }
 
+// keepers returns up to most other VMs in the order of their rendezvous hash scores for the key:
+// the registered ones, or of these only those that are alive and not leaving.
+func (v *view) keepers(key uint64, most int, live bool) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	now := v.clock.Now()
+	ids := make([]string, 0, len(v.members))
+	for id := range v.members {
+		if p := v.peers[id]; id != v.self && (!live || p.listedWithin(now, peerTimeout) && !p.Leaving) {
+			ids = append(ids, id)
+		}
+	}
+	score := func(id string) uint64 { return bergamotgrade.MixHash(key ^ xxhash.Sum64String(id)) }
+	slices.SortFunc(ids, func(a, b string) int { return cmp.Compare(score(b), score(a)) })
+	return ids[:min(most, len(ids))]
+}
+
 // gossipPeers returns the other registered VMs as gossip peers.
 func (v *view) gossipPeers() map[string]gossip.Peer {
 	v.mu.Lock()
--- a/errors.go
+++ b/errors.go
@@ -34,6 +34,7 @@
 	KindNoteInvalid        ErrorKind = "note_invalid"
 	KindNotReady           ErrorKind = "not_ready"
 	KindTooManyConns       ErrorKind = "too_many_connections"
+	KindOriginUnknown      ErrorKind = "stream_origin_unknown"
 	KindPromptQuarantined  ErrorKind = "prompt_quarantined"
 	KindRequestQuarantined ErrorKind = "request_quarantined"
 	KindInternal           ErrorKind = "internal"
@@ -62,6 +63,7 @@
 	KindNoteInvalid:        http.StatusUnprocessableEntity,
 	KindNotReady:           http.StatusServiceUnavailable,
 	KindTooManyConns:       http.StatusServiceUnavailable,
+	KindOriginUnknown:      http.StatusServiceUnavailable,
 	KindPromptQuarantined:  http.StatusServiceUnavailable,
 	KindRequestQuarantined: http.StatusServiceUnavailable,
 	KindInternal:           http.StatusInternalServerError,
--- a/fleet.go
+++ b/fleet.go
@@ -89,6 +89,17 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// Services returns the names of the services that run the route's requests.
+func (r *FleetRoute) Services() []string {
+	services := make([]string, 0, len(r.Targets))
+	for _, target := range r.Targets {
+		if target.Weight > 0 || len(r.Targets) == 1 {
+			services = append(services, target.Service)
+		}
+	}
+	return services
+}
+
 // FleetTeam is a team with its rate limit, which applies to the sum over all VMs.
 type FleetTeam struct {
 	Name string
--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -44,6 +44,8 @@
 	// maxForwardBytes bounds a datagram of several forwarded digests, so that it fits into
 	// one packet at the MTU of an ordinary network.
 	maxForwardBytes = 1400
+	// maxRecordsPerDatagram bounds the records of streams in a datagram, for the same reason.
+	maxRecordsPerDatagram = 16
 	// maxDatagramBytes is the size of the receive buffer.
 	maxDatagramBytes = 64 << 10
 	// recordRetention is how long a hub keeps the counts of a silent VM.
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -18,8 +18,9 @@
 
 // The first byte of each message in a datagram tells its type.
 const (
-	tagStatus = 's'
-	tagDigest = 'd'
+	tagStatus  = 's'
+	tagDigest  = 'd'
+	tagStreams = 'o'
 )
 
 // VMState is what the other VMs have to know of one VM.
@@ -61,6 +62,11 @@
 	Rates []ServerRate
 }
 
+// Streams holds records of streams that the receiver keeps for other VMs.
+type Streams struct {
+	Records []bergamotgrade.StreamRecord
+}
+
 // CopyState announces a VM's copy of a prefix of the store.
 type CopyState struct {
 	VMID   string
@@ -149,7 +155,7 @@
 	return buffer.Bytes(), err
 }
 
-// decode decodes the first message in data, a *Status or a *Digest, and returns its size in
+// decode decodes the first message in data, a *Status, a *Digest or *Streams, and returns its size in
 // bytes.
 func decode(data []byte) (message any, size int, err error) {
 	switch {
@@ -157,6 +163,8 @@
 		message = &Status{}
 	case len(data) > 0 && data[0] == tagDigest:
 		message = &Digest{}
+	case len(data) > 0 && data[0] == tagStreams:
+		message = &Streams{}
 	default:
 		return nil, 0, errors.New("datagram holds no message of a known type")
 	}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -41,6 +41,8 @@
 	Status func() Status
 	// Receive is called with the report of each newer digest.
 	Receive func(Report)
+	// ReceiveStreams is called with the records of streams that other VMs send.
+	ReceiveStreams func([]bergamotgrade.StreamRecord)
 	// Preempt returns the batch runs that VMs of this data centre have to end, as limits:
 	// it is called with the batch runs of its VMs.
 	Preempt func(runs []bergamotgrade.BatchRuns) []bergamotgrade.BatchRuns
@@ -367,6 +369,24 @@
 	return addresses
 }
 
+// SendStreams sends the records to the VM, in datagrams of at most maxRecordsPerDatagram.
+func (n *Node) SendStreams(vmID string, records []bergamotgrade.StreamRecord) {
+	n.mu.Lock()
+	to, ok := n.peers[vmID]
+	n.mu.Unlock()
+	if !ok {
+		return
+	}
+	for chunk := range slices.Chunk(records, maxRecordsPerDatagram) {
+		data, err := encode(tagStreams, Streams{Records: chunk})
+		if err != nil {
+			n.config.Log.Error("records of streams cannot be encoded; not sent", "cause", err.Error())
+			return
+		}
+		n.send(data, []*net.UDPAddr{to.address})
+	}
+}
+
 // pack joins the messages into datagrams of at most maxForwardBytes, unless one message
 // alone is larger.
 func pack(first []byte, others [][]byte) [][]byte {
@@ -430,6 +450,8 @@
 			if m.VM.VMID != "" && m.VM.VMID != n.config.VMID {
 				n.recordStatus(now, *m, from)
 			}
+		case *Streams:
+			n.config.ReceiveStreams(m.Records)
 		case *Digest:
 			if m.HubID == "" || m.HubID == n.config.VMID {
 				continue
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -36,6 +36,9 @@
 	text        []string
 	textBytes   int
 	lastEventID string
+	// origin is where the first of these events came from; zero without events. The job's
+	// lock guards it.
+	origin bergamotgrade.StreamOrigin
 	// failedServers holds the ids of the servers that failed to run the item; avoid
 	// holds these and the server of the last attempt.
 	failedServers map[string]bool
@@ -54,15 +57,35 @@
 	ctx context.Context
 }
 
+// servers returns the servers at which the item may run, whose route leads to the service. An
+// item whose output cannot go on, because no server of its origin is left, starts anew.
+func (i *ownedItem) servers(service string) bergamotgrade.ServerSet {
+	i.job.mu.Lock()
+	defer i.job.mu.Unlock()
+	servers := i.origin.Servers(service)
+	if i.running || i.origin.IsZero() || servers.Service == service && i.job.runner.scheduler.HasServer(servers) {
+		return servers
+	}
+	i.job.runner.log.Info("item starts anew; no server of the software that began its output is left", "job", i.job.id, "item", i.item.ItemID,
+		"version", i.origin.SoftwareVersion, "service", i.origin.Service, "last_event_id", i.lastEventID)
+	i.clearText()
+	return bergamotgrade.ServerSet{Service: service}
+}
+
+// clearText drops the output received so far. The caller holds the job's lock.
+func (i *ownedItem) clearText() {
+	i.text, i.textBytes, i.lastEventID, i.origin = nil, 0, "", bergamotgrade.StreamOrigin{}
+}
+
 // acquire returns a slot for the item, or nil when none is free or the item may not
 // start.
-func (i *ownedItem) acquire(_ context.Context, service string) *batchSlot {
+func (i *ownedItem) acquire(servers bergamotgrade.ServerSet) *batchSlot {
 	i.job.mu.Lock()
 	defer i.job.mu.Unlock()
 	if i.running || i.finished || i.job.ctx.Err() != nil {
 		return nil
 	}
-	ctx, slot, ok := i.job.runner.scheduler.AcquireBatch(i.job.ctx, service, i.avoid, i.urgency.preemptionDue())
+	ctx, slot, ok := i.job.runner.scheduler.AcquireBatch(i.job.ctx, servers, i.avoid, i.urgency.preemptionDue())
 	if !ok {
 		return nil
 	}
@@ -202,11 +225,11 @@
 	case answer.Status != http.StatusOK || !answer.Signed:
 		return placement.OutcomeFailed, errors.Newf("server answered %d, signed: %t", answer.Status, answer.Signed)
 	}
-	return i.readEvents(answer)
+	return i.readEvents(server, answer)
 }
 
-// readEvents appends the events of one answer to text.
-func (i *ownedItem) readEvents(answer *bergamotgrade.Answer) (placement.Outcome, error) {
+// readEvents appends the events of one answer of the server to text.
+func (i *ownedItem) readEvents(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) (placement.Outcome, error) {
 	events := relay.NewEventReader(answer.Body)
 	for received := 0; ; received++ {
 		event, err := events.Next()
@@ -226,6 +249,7 @@
 		if !i.isNext(event) {
 			return placement.OutcomeFailed, errors.Newf("event %q does not follow event %q", event.ID, i.lastEventID)
 		}
+		i.setOrigin(server)
 		if event.ID != "" {
 			i.lastEventID = event.ID
 		}
@@ -235,12 +259,23 @@
 			i.textBytes += len(event.Raw)
 		}
 		if i.textBytes > maxItemTextBytes {
-			i.text, i.textBytes, i.lastEventID = nil, 0, ""
+			i.job.mu.Lock()
+			i.clearText()
+			i.job.mu.Unlock()
 			return placement.OutcomeFailed, errors.Newf("output is longer than %d bytes", maxItemTextBytes)
 		}
 	}
 }
 
+// setOrigin records where the output comes from unless it has begun.
+func (i *ownedItem) setOrigin(server bergamotgrade.ServerRecord) {
+	i.job.mu.Lock()
+	defer i.job.mu.Unlock()
+	if i.origin.IsZero() {
+		i.origin = bergamotgrade.OriginOf(server)
+	}
+}
+
 // isNext reports whether the event directly follows lastEventID. Events without an
 // id or with ids that are not numbers are accepted.
 func (i *ownedItem) isNext(event relay.Event) bool {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -219,7 +219,7 @@
 		return
 	}
 	now := r.clock.Now()
-	fullServices := map[string]bool{}
+	full := map[bergamotgrade.ServerSet]bool{}
 	for _, item := range r.waitingItems(now) {
 		route := config.Route(item.job.spec.Host, item.job.spec.Path)
 		if route == nil || route.Kind != bergamotgrade.RouteBatch {
@@ -230,20 +230,20 @@
 			item.abandonIfIdle("not finished within the retention time of its route")
 			continue
 		}
-		service := route.Target(item.hash)
-		if fullServices[service] {
+		servers := item.servers(route.Target(item.hash))
+		if full[servers] {
 			continue
 		}
 		suspect := item.isSuspect()
 		if suspect && !r.enterSuspectLane(now) {
 			continue
 		}
-		slot := item.acquire(ctx, service)
+		slot := item.acquire(servers)
 		if slot == nil {
 			if suspect {
 				r.leaveSuspectLane(resultUnknown)
 			}
-			fullServices[service] = true
+			full[servers] = true
 			continue
 		}
 		r.running.Go(func() { item.run(slot, route.MaxAttempts, suspect) })
--- a/placement/rate_test.go
+++ b/placement/rate_test.go
@@ -128,7 +128,7 @@
 }
 
 func (f *limitedFleet) start(vm *limitedVM, class Class) bool {
-	record, ok := vm.selector.Pick(f.now, Criteria{Service: "svc", Class: class, Hash: f.random.Uint64()})
+	record, ok := vm.selector.Pick(f.now, Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Class: class, Hash: f.random.Uint64()})
 	if !ok {
 		return false
 	}
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -154,10 +154,10 @@
 // all, this VM included.
 func (sel *Selector) SetRunners(local, all int) { sel.localRunners, sel.allRunners = local, all }
 
-// HasServer reports whether any server of the service accepts new requests.
-func (sel *Selector) HasServer(service string) bool {
+// HasServer reports whether any server of the set accepts new requests.
+func (sel *Selector) HasServer(servers bergamotgrade.ServerSet) bool {
 	for _, s := range sel.servers {
-		if s.record.Service == service && !s.record.Draining {
+		if servers.Includes(s.record) && !s.record.Draining {
 			return true
 		}
 	}
@@ -250,7 +250,7 @@
 
 // Criteria holds the properties of a request that its server is selected by.
 type Criteria struct {
-	Service string
+	Servers bergamotgrade.ServerSet
 	Class   Class
 	// Avoid holds the ids of servers that failed or rejected this request before.
 	Avoid map[string]bool
@@ -296,14 +296,13 @@
 
 // Pick returns the server for the request, or false if no server has a slot.
 func (sel *Selector) Pick(now time.Time, criteria Criteria) (bergamotgrade.ServerRecord, bool) {
-	// Ejected and avoided servers are considered only if the service has no other
-	// server.
+	// Ejected and avoided servers are considered only if there is no other server.
 	for _, allowUnhealthy := range []bool{false, true} {
 		var best *serverState
 		var bestRank rank
 		for _, id := range sel.serverIDs {
 			s := sel.servers[id]
-			if s.record.Service != criteria.Service || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) {
+			if !criteria.Servers.Includes(s.record) || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) {
 				continue
 			}
 			if !allowUnhealthy && (criteria.Avoid[id] || s.ejected(now)) {
@@ -324,11 +323,11 @@
 	return bergamotgrade.ServerRecord{}, false
 }
 
-// anyHealthy reports whether the service has a server that is neither ejected nor
+// anyHealthy reports whether the set has a server that is neither ejected nor
 // avoided, even if it has no free slot now.
 func (sel *Selector) anyHealthy(now time.Time, criteria Criteria) bool {
 	for id, s := range sel.servers {
-		if s.record.Service == criteria.Service && !s.record.Draining && !criteria.Avoid[id] && !s.ejected(now) {
+		if criteria.Servers.Includes(s.record) && !s.record.Draining && !criteria.Avoid[id] && !s.ejected(now) {
 			return true
 		}
 	}
@@ -461,10 +460,10 @@
 }
 
 // SlotUsage returns the number of slots, and of requests of the class, at the servers of
-// the service that accept new requests.
-func (sel *Selector) SlotUsage(service string, class Class) (slots, used int) {
+// the set that accept new requests.
+func (sel *Selector) SlotUsage(servers bergamotgrade.ServerSet, class Class) (slots, used int) {
 	for _, s := range sel.servers {
-		if s.record.Service == service && !s.record.Draining {
+		if servers.Includes(s.record) && !s.record.Draining {
 			slots += s.record.Slots
 			used += s.load(class)
 		}
@@ -472,15 +471,15 @@
 	return slots, used
 }
 
-// ExpectedWait estimates how long a request waits for a slot of the service if ahead
+// ExpectedWait estimates how long a request waits for a slot of the set if ahead
 // requests on this VM wait before it. It assumes that released slots are shared equally
-// by vms VMs, and adds this VM's shares of the limits that servers name. If the service has
+// by vms VMs, and adds this VM's shares of the limits that servers name. If the set has
 // neither it returns the mean run time.
-func (sel *Selector) ExpectedWait(service string, ahead, vms int) time.Duration {
+func (sel *Selector) ExpectedWait(servers bergamotgrade.ServerSet, ahead, vms int) time.Duration {
 	slots, limited := 0, 0.0
 	for _, s := range sel.servers {
 		switch {
-		case s.record.Service != service || s.record.Draining:
+		case !servers.Includes(s.record) || s.record.Draining:
 		case s.rate.limited:
 			limited += s.rate.bucket.Rate()
 		default:
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -84,7 +84,7 @@
 	case "expected": // expected AHEAD VMS: the expected wait
 		ahead, _ := strconv.Atoi(f[1])
 		vms, _ := strconv.Atoi(f[2])
-		return s.selector.ExpectedWait("svc", ahead, vms).Round(time.Millisecond).String()
+		return s.selector.ExpectedWait(bergamotgrade.ServerSet{Service: "svc"}, ahead, vms).Round(time.Millisecond).String()
 	}
 	return ""
 }
@@ -127,7 +127,7 @@
 
 func (s *selectorScript) criteria(f []string) Criteria {
 	s.hash++
-	criteria := Criteria{Service: "svc", Class: class(f[0]), Avoid: map[string]bool{}, Hash: bergamotgrade.MixHash(s.hash)}
+	criteria := Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Class: class(f[0]), Avoid: map[string]bool{}, Hash: bergamotgrade.MixHash(s.hash)}
 	for _, option := range f[1:] {
 		if id, ok := strings.CutPrefix(option, "avoid="); ok {
 			criteria.Avoid[id] = true
--- a/placement/stale_test.go
+++ b/placement/stale_test.go
@@ -91,7 +91,7 @@
 
 func (f *staleFleet) choose(now time.Time, vm int, leastLoaded bool) (string, bool) {
 	if !leastLoaded {
-		record, ok := f.selectors[vm].Pick(now, Criteria{Service: "svc", Hash: f.random.Uint64()})
+		record, ok := f.selectors[vm].Pick(now, Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Hash: f.random.Uint64()})
 		return record.ServerID, ok
 	}
 	best := ""
--- a/quarantine/guard_test.go
+++ b/quarantine/guard_test.go
@@ -16,14 +16,9 @@
 	"github.com/bergamotgrade/bergamotgrade/scripttest"
 )
 
-// scriptClock is a clock that the steps of a script move.
-type scriptClock struct{ now time.Time }
-
-func (c *scriptClock) Now() time.Time { return c.now }
-
 // guardScript runs the steps of one script file against the guards of several VMs.
 type guardScript struct {
-	clock  *scriptClock
+	clock  *scripttest.Clock
 	store  *standin.Store
 	guards map[string]*Guard
 	// alive holds the servers that accept connections although one broke.
@@ -33,7 +28,7 @@
 }
 
 func newGuardScript() *guardScript {
-	clock := &scriptClock{now: time.Unix(1000, 0)}
+	clock := scripttest.NewClock()
 	return &guardScript{clock: clock, store: standin.NewStore(clock), guards: map[string]*Guard{}, alive: map[string]bool{}, cutOff: map[string]bool{}}
 }
 
@@ -79,7 +74,7 @@
 				guard.write(context.Background())
 			}
 		}
-		s.clock.now = s.clock.now.Add(servedDelayPerVM)
+		s.clock.Advance(servedDelayPerVM)
 	}
 	for vmID, guard := range s.guards {
 		s.mirror(vmID, guard)
@@ -89,7 +84,7 @@
 func (s *guardScript) step(words []string) string {
 	switch words[0] {
 	case "lost": // lost VM SERVER TRAIT,... [RUN] : a request breaks at the server after the run time
-		sentAt := s.clock.now
+		sentAt := s.clock.Now()
 		if len(words) > 4 {
 			d, _ := time.ParseDuration(words[4])
 			sentAt = sentAt.Add(-d)
@@ -103,7 +98,7 @@
 		s.sync()
 	case "wait":
 		d, _ := time.ParseDuration(words[1])
-		s.clock.now = s.clock.now.Add(d)
+		s.clock.Advance(d)
 	case "restart": // restart VM: its memory is lost
 		delete(s.guards, words[1])
 	case "delete": // an operator deletes the records of all ends
@@ -183,7 +178,7 @@
 	guard.Served(parseTraits("a,b,c,d"))
 	guard.mu.Lock()
 	defer guard.mu.Unlock()
-	earliest := s.clock.now.Add(time.Hour)
+	earliest := s.clock.Now().Add(time.Hour)
 	for _, state := range guard.ownServed {
 		if state.writeAt.Before(earliest) {
 			earliest = state.writeAt
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -29,6 +29,8 @@
 	// Fingerprint is what the request has in common with its repeats.
 	Fingerprint string
 	Service     string
+	// Services holds the services that may run requests of the route.
+	Services []string
 	// Streams marks a request whose response is an event stream.
 	Streams bool
 	// Repeatable allows the request to run more than once; a repeatable stream is
@@ -69,6 +71,7 @@
 	scheduler *Scheduler
 	exchanger bergamotgrade.Exchanger
 	guard     bergamotgrade.RequestGuard
+	origins   bergamotgrade.StreamOrigins
 	log       *slog.Logger
 	observer  Observer
 }
@@ -82,8 +85,9 @@
 }
 
 // New returns a relay that sends the requests that the guard admits through the exchanger.
-func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, guard bergamotgrade.RequestGuard, log *slog.Logger, observer Observer) *Relay {
-	return &Relay{clock: clock, scheduler: scheduler, exchanger: exchanger, guard: guard, log: log, observer: observer}
+// origins tells where the streams that callers take up began.
+func New(clock bergamotgrade.Clock, scheduler *Scheduler, exchanger bergamotgrade.Exchanger, guard bergamotgrade.RequestGuard, origins bergamotgrade.StreamOrigins, log *slog.Logger, observer Observer) *Relay {
+	return &Relay{clock: clock, scheduler: scheduler, exchanger: exchanger, guard: guard, origins: origins, log: log, observer: observer}
 }
 
 // ErrTruncated is returned if a response ended early after its head was sent; the
@@ -105,6 +109,8 @@
 	lostConnections int
 	// resumedAfter is the id of the last event before the current attempt.
 	resumedAfter string
+	// origin is where the stream began; zero before its first event.
+	origin bergamotgrade.StreamOrigin
 	// headSent is set once the response's head has been sent to the caller.
 	headSent bool
 	// lastEventID is the id of the last event that was sent to the caller.
@@ -123,6 +129,9 @@
 	run := &requestRun{relay: r, req: req, out: out, avoid: map[string]bool{}, lastEventID: req.ResumeAfter, arrivedAt: r.clock.Now()}
 	ctx, cancel := context.WithDeadlineCause(ctx, req.Deadline, context.DeadlineExceeded)
 	defer cancel()
+	if err := run.findOrigin(ctx); err != nil {
+		return run.result(err)
+	}
 	for {
 		done, err := run.attempt(ctx)
 		if done {
@@ -131,6 +140,20 @@
 	}
 }
 
+// findOrigin finds where the stream began that the request takes up, if any.
+func (run *requestRun) findOrigin(ctx context.Context) error {
+	req := run.req
+	if !req.Streams || req.ResumeAfter == "" {
+		return nil
+	}
+	origin, err := run.relay.origins.Find(ctx, req.Resumes, req.Services)
+	if err != nil {
+		return run.contextError(ctx, err)
+	}
+	run.origin = origin
+	return nil
+}
+
 // result counts a complete or a truncated response and returns the error for the caller.
 func (run *requestRun) result(err error) error {
 	if err == nil {
@@ -156,7 +179,7 @@
 		return true, err
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
-		Service: req.Service, Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
+		Servers: run.origin.Servers(req.Service), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
 		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
 		RejectIfLate: run.runs == 0,
 	})
@@ -171,6 +194,9 @@
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
 	run.sentAt, run.serverID, run.resumedAfter = sentAt, server.ServerID, run.lastEventID
+	if req.Streams && req.Repeatable && run.origin.IsZero() {
+		run.relay.origins.Began(req.RequestID, bergamotgrade.OriginOf(server), run.runs+run.rejections)
+	}
 	attempt := bergamotgrade.Attempt{
 		RequestID: req.RequestID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: req.Header, Body: req.Body, Team: req.Team,
@@ -212,7 +238,7 @@
 	run.runs++
 	switch {
 	case answer.Status >= 200 && answer.Status < 300 && answer.Signed:
-		err = run.forward(answer)
+		err = run.forward(server, answer)
 	case answer.Status >= http.StatusInternalServerError && run.req.Repeatable && run.runs < run.req.MaxAttempts,
 		!answer.Signed, run.headSent,
 		answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
@@ -293,15 +319,15 @@
 }
 
 // forward sends a successful response to the caller.
-func (run *requestRun) forward(answer *bergamotgrade.Answer) error {
+func (run *requestRun) forward(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) error {
 	if run.req.Streams {
-		return run.forwardEvents(answer)
+		return run.forwardEvents(server, answer)
 	}
 	return run.forwardBody(answer)
 }
 
 // forwardEvents sends each event to the caller as soon as it is complete.
-func (run *requestRun) forwardEvents(answer *bergamotgrade.Answer) error {
+func (run *requestRun) forwardEvents(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) error {
 	events := NewEventReader(answer.Body)
 	resumedAfter := run.lastEventID
 	for received := 0; ; received++ {
@@ -321,6 +347,9 @@
 			}
 			resumedAfter = ""
 		}
+		if run.origin.IsZero() {
+			run.origin = bergamotgrade.OriginOf(server)
+		}
 		if err := run.sendHead(answer, -1); err != nil {
 			return err
 		}
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
+	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 	"github.com/bergamotgrade/bergamotgrade/quarantine"
 )
 
@@ -100,7 +101,7 @@
 func newRelay(scheduler *Scheduler, results ...result) (*Relay, *scriptedExchanger) {
 	s := &scriptedExchanger{results: results}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	return New(bergamotgrade.SystemClock{}, scheduler, s, quarantine.New(quarantine.Config{Clock: bergamotgrade.SystemClock{}, Log: log}), log, noObserver{}), s
+	return New(bergamotgrade.SystemClock{}, scheduler, s, quarantine.New(quarantine.Config{Clock: bergamotgrade.SystemClock{}, Log: log}), standin.UnknownOrigins{}, log, noObserver{}), s
 }
 
 func newStreamRequest(repeatable bool, maxAttempts int) *Request {
@@ -257,13 +258,13 @@
 	scheduler := NewScheduler(bergamotgrade.SystemClock{}, placement.NewSelector("vm1", "here"), func() {})
 	scheduler.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 3}})
 	now := time.Now()
-	early, _, ok := scheduler.AcquireBatch(context.Background(), "svc", nil, now.Add(time.Second))
+	early, _, ok := scheduler.AcquireBatch(context.Background(), bergamotgrade.ServerSet{Service: "svc"}, nil, now.Add(time.Second))
 	qt.Assert(t, ok, qt.IsTrue)
-	late, lateSlot, ok := scheduler.AcquireBatch(context.Background(), "svc", nil, now.Add(time.Minute))
+	late, lateSlot, ok := scheduler.AcquireBatch(context.Background(), bergamotgrade.ServerSet{Service: "svc"}, nil, now.Add(time.Minute))
 	qt.Assert(t, ok, qt.IsTrue)
-	_, _, ok = scheduler.AcquireBatch(context.Background(), "svc", nil, now)
+	_, _, ok = scheduler.AcquireBatch(context.Background(), bergamotgrade.ServerSet{Service: "svc"}, nil, now)
 	qt.Assert(t, ok, qt.IsFalse) // batchReserve keeps the last slot free
-	request := SlotRequest{Service: "svc", LatestStart: now.Add(time.Second), Deadline: now.Add(time.Second)}
+	request := SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, LatestStart: now.Add(time.Second), Deadline: now.Add(time.Second)}
 	for range 2 {
 		_, err := scheduler.Acquire(context.Background(), request)
 		qt.Assert(t, err, qt.IsNil)
@@ -341,23 +342,23 @@
 	defer cancel()
 	var running sync.WaitGroup
 	running.Go(func() {
-		_, err := scheduler.Acquire(ctx, SlotRequest{Service: "svc", Avoid: map[string]bool{"a": true}, Deadline: time.Now().Add(time.Minute)})
+		_, err := scheduler.Acquire(ctx, SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, Avoid: map[string]bool{"a": true}, Deadline: time.Now().Add(time.Minute)})
 		qt.Check(t, err, qt.IsNil)
 	})
 	running.Wait() // an avoided server is used if the service has no other
 	scheduler.UpdatePeers("there", map[string]placement.Load{"a": {2, 0}}, nil, VMCounts{Callers: 2})
 	running.Go(func() {
-		_, _ = scheduler.Acquire(ctx, SlotRequest{Service: "svc", Deadline: time.Now().Add(time.Minute)})
+		_, _ = scheduler.Acquire(ctx, SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, Deadline: time.Now().Add(time.Minute)})
 	})
 	for waiting := 0; waiting == 0; time.Sleep(time.Millisecond) {
 		scheduler.mu.Lock()
-		waiting = scheduler.queue("svc").Len()
+		waiting = scheduler.queue(bergamotgrade.ServerSet{Service: "svc"}).Len()
 		scheduler.mu.Unlock()
 	}
 	scheduler.mu.Lock()
 	scheduler.selector.UpdatePeers(time.Now(), "there", nil, nil)
 	scheduler.mu.Unlock()
-	_, _, ok := scheduler.AcquireBatch(ctx, "svc", nil, time.Now())
+	_, _, ok := scheduler.AcquireBatch(ctx, bergamotgrade.ServerSet{Service: "svc"}, nil, time.Now())
 	qt.Assert(t, ok, qt.IsFalse)
 	cancel()
 	running.Wait()
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -25,7 +25,7 @@
 
 	mu       sync.Mutex
 	selector *placement.Selector
-	queues   map[string]*queue.Fair
+	queues   map[bergamotgrade.ServerSet]*queue.Fair
 	// waiters holds the waiting request of each queued item.
 	waiters map[*queue.Item]*waiter
 	// batch holds the cancel function of each batch run, which online requests may
@@ -36,6 +36,7 @@
 	batchCapacity chan struct{}
 }
 
+// waiter is a waiting request; result receives its slot, or nil if there can be none.
 type waiter struct {
 	criteria placement.Criteria
 	result   chan *Slot
@@ -61,7 +62,7 @@
 func NewScheduler(clock bergamotgrade.Clock, selector *placement.Selector, onLoad func()) *Scheduler {
 	return &Scheduler{
 		clock: clock, onLoad: onLoad, selector: selector, vms: 1,
-		queues:        map[string]*queue.Fair{},
+		queues:        map[bergamotgrade.ServerSet]*queue.Fair{},
 		waiters:       map[*queue.Item]*waiter{},
 		batch:         map[*Slot]context.CancelCauseFunc{},
 		batchCapacity: make(chan struct{}, 1),
@@ -163,16 +164,16 @@
 	return s.selector.Rates(s.clock.Now())
 }
 
-// HasServer reports whether any server of the service accepts new requests.
-func (s *Scheduler) HasServer(service string) bool {
+// HasServer reports whether any server of the set accepts new requests.
+func (s *Scheduler) HasServer(servers bergamotgrade.ServerSet) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.selector.HasServer(service)
+	return s.selector.HasServer(servers)
 }
 
 // SlotRequest describes a request that needs a slot.
 type SlotRequest struct {
-	Service string
+	Servers bergamotgrade.ServerSet
 	Team    string
 	// Cost is the expected work in tokens.
 	Cost float64
@@ -188,18 +189,18 @@
 }
 
 // Acquire waits for a slot in fair order between teams. It returns a KindNoBackendServer
-// error if no server of the service accepts requests, a KindOverloaded error if the
+// error if no server of the set accepts requests, a KindOverloaded error if the
 // request would start too late or the queue is full, both with a retry time, and a
 // KindDeadlineExceeded error if no slot is released before the deadline.
 func (s *Scheduler) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	if !s.selector.HasServer(request.Service) {
+	if !s.selector.HasServer(request.Servers) {
 		s.mu.Unlock()
 		return nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
-	q := s.queue(request.Service)
-	criteria := placement.Criteria{Service: request.Service, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
+	q := s.queue(request.Servers)
+	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
 	if q.Len() == 0 {
 		if server, ok := s.selector.Pick(now, criteria); ok {
 			slot := s.start(now, server, placement.Online)
@@ -209,8 +210,8 @@
 			return slot, nil
 		}
 	}
-	wait := s.selector.ExpectedWait(request.Service, q.Len(), s.vms)
-	slots, used := s.selector.SlotUsage(request.Service, placement.Online)
+	wait := s.selector.ExpectedWait(request.Servers, q.Len(), s.vms)
+	slots, used := s.selector.SlotUsage(request.Servers, placement.Online)
 	overloaded := overloadedError().WithRetryAt(now.Add(jitteredDelay(wait))).
 		WithCause(errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait))
 	if request.RejectIfLate && now.Add(wait).After(request.LatestStart) {
@@ -249,6 +250,9 @@
 	defer timer.Stop()
 	select {
 	case slot := <-w.result:
+		if slot == nil {
+			return nil, noServerError().WithRetryAt(s.clock.Now().Add(jitteredDelay(minRetryAfter * 4)))
+		}
 		return slot, nil
 	case <-timer.C:
 	case <-ctx.Done():
@@ -261,7 +265,9 @@
 		select {
 		case slot := <-w.result:
 			// The slot was assigned concurrently with the end of the wait.
-			slot.Release(placement.OutcomeAborted)
+			if slot != nil {
+				slot.Release(placement.OutcomeAborted)
+			}
 		default:
 		}
 	}
@@ -271,16 +277,54 @@
 	return nil, bergamotgrade.NewError(bergamotgrade.KindDeadlineExceeded, "no place came free before the request's deadline", "allow more time or try again later")
 }
 
-// queue returns the queue of the service; the caller holds the lock.
-func (s *Scheduler) queue(service string) *queue.Fair {
-	q, ok := s.queues[service]
+// queue returns the queue for the servers. Streams that have begun wait in queues of their own,
+// so that they hold nobody up while the servers of their version are busy. The caller holds the
+// lock.
+func (s *Scheduler) queue(servers bergamotgrade.ServerSet) *queue.Fair {
+	q, ok := s.queues[servers]
 	if !ok {
 		q = queue.NewFair(maxWaiting, maxWaitingPerTeam)
-		s.queues[service] = q
+		s.queues[servers] = q
 	}
 	return q
 }
 
+// onlineWaits reports whether an online request waits that a server of the set may run. The
+// caller holds the lock.
+func (s *Scheduler) onlineWaits(servers bergamotgrade.ServerSet) bool {
+	for waited, q := range s.queues {
+		isSameVersion := !waited.OneVersion || !servers.OneVersion || waited.SoftwareVersion == servers.SoftwareVersion
+		if waited.Service == servers.Service && isSameVersion && q.Len() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// sortedQueues returns the sets with queues: streams that have begun come first, as their
+// callers wait in the middle of an answer. It removes empty queues of versions, of which there
+// are new ones all the time. The caller holds the lock.
+func (s *Scheduler) sortedQueues() []bergamotgrade.ServerSet {
+	sets := make([]bergamotgrade.ServerSet, 0, len(s.queues))
+	for servers, q := range s.queues {
+		if servers.OneVersion && q.Len() == 0 {
+			delete(s.queues, servers)
+			continue
+		}
+		sets = append(sets, servers)
+	}
+	slices.SortFunc(sets, func(a, b bergamotgrade.ServerSet) int {
+		switch {
+		case a.OneVersion == b.OneVersion:
+			return 0
+		case a.OneVersion:
+			return -1
+		}
+		return 1
+	})
+	return sets
+}
+
 // start adds a request to the server's load and returns its slot; the caller holds the
 // lock.
 func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class) *Slot {
@@ -288,17 +332,17 @@
 	return &Slot{scheduler: s, server: server, class: class, startedAt: now}
 }
 
-// AcquireBatch returns a slot for a batch item if one is free now and no online request of
-// the service waits. The returned context ends with ErrPreempted if an online request
+// AcquireBatch returns a slot for a batch item if one is free now and no online request waits
+// for the servers. The returned context ends with ErrPreempted if an online request
 // preempts the run.
-func (s *Scheduler) AcquireBatch(ctx context.Context, service string, avoid map[string]bool, due time.Time) (context.Context, *Slot, bool) {
+func (s *Scheduler) AcquireBatch(ctx context.Context, servers bergamotgrade.ServerSet, avoid map[string]bool, due time.Time) (context.Context, *Slot, bool) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	if s.queue(service).Len() > 0 {
+	if s.onlineWaits(servers) {
 		s.mu.Unlock()
 		return nil, nil, false
 	}
-	server, ok := s.selector.Pick(now, placement.Criteria{Service: service, Class: placement.Batch, Avoid: avoid, Hash: rand.Uint64()})
+	server, ok := s.selector.Pick(now, placement.Criteria{Servers: servers, Class: placement.Batch, Avoid: avoid, Hash: rand.Uint64()})
 	if !ok {
 		s.mu.Unlock()
 		return nil, nil, false
@@ -338,7 +382,9 @@
 func (s *Scheduler) schedule() {
 	now := s.clock.Now()
 	started := false
-	for _, q := range s.queues {
+	for _, servers := range s.sortedQueues() {
+		q := s.queues[servers]
+		isGone := servers.OneVersion && !s.selector.HasServer(servers)
 		for {
 			item, expired := q.Peek(now)
 			for _, dropped := range expired {
@@ -348,6 +394,12 @@
 				break
 			}
 			w := s.waiters[item]
+			if isGone {
+				q.Pop(now)
+				delete(s.waiters, item)
+				w.result <- nil
+				continue
+			}
 			server, ok := s.selector.Pick(now, w.criteria)
 			if !ok {
 				break
--- a/relay/scheduler_test.go
+++ b/relay/scheduler_test.go
@@ -8,6 +8,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 )
 
@@ -26,7 +27,7 @@
 
 // run acquires the slot for the team and holds it until finish is signalled.
 func (s *singleSlot) run(team string) {
-	slot, err := s.scheduler.Acquire(context.Background(), SlotRequest{Service: "svc", Team: team, Cost: 100, Deadline: time.Now().Add(time.Minute)})
+	slot, err := s.scheduler.Acquire(context.Background(), SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, Team: team, Cost: 100, Deadline: time.Now().Add(time.Minute)})
 	if err != nil {
 		s.started <- err.Error()
 		return
@@ -50,7 +51,7 @@
 func (s *singleSlot) waiting() int {
 	s.scheduler.mu.Lock()
 	defer s.scheduler.mu.Unlock()
-	return s.scheduler.queue("svc").Len()
+	return s.scheduler.queue(bergamotgrade.ServerSet{Service: "svc"}).Len()
 }
 
 // serve passes the slot on count times and returns the teams that got it, in order.
@@ -89,3 +90,74 @@
 		})
 	}
 }
+
+// A stream that waits for the servers of its version holds up no request that another server
+// can run, and comes first when one of its own becomes free.
+func TestWaitingVersionHoldsUpOthers(t *testing.T) {
+	scheduler := NewScheduler(bergamotgrade.SystemClock{}, placement.NewSelector("vm1", "here"), func() {})
+	records := map[string]bergamotgrade.ServerRecord{}
+	for _, version := range []string{"v1", "v2"} {
+		records[version] = bergamotgrade.ServerRecord{ServerID: version, Service: "svc", DataCentre: "here", SoftwareVersion: version, Slots: 1}
+	}
+	scheduler.SetServers(records)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	deadline := time.Now().Add(time.Minute)
+	old := bergamotgrade.ServerSet{Service: "svc", SoftwareVersion: "v1", OneVersion: true}
+	first, err := scheduler.Acquire(ctx, SlotRequest{Servers: old, Deadline: deadline})
+	qt.Assert(t, err, qt.IsNil)
+	resumed, anew := make(chan *Slot, 1), make(chan *Slot, 1)
+	acquire := func(servers bergamotgrade.ServerSet, to chan<- *Slot) {
+		slot, err := scheduler.Acquire(ctx, SlotRequest{Servers: servers, Deadline: deadline})
+		if err == nil {
+			to <- slot
+		}
+	}
+	waitFor := func(servers bergamotgrade.ServerSet) {
+		for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(time.Millisecond) {
+			scheduler.mu.Lock()
+			waiting := scheduler.queue(servers).Len()
+			scheduler.mu.Unlock()
+			if waiting > 0 {
+				return
+			}
+		}
+		t.Fatal("no request waits")
+	}
+	go acquire(old, resumed)
+	waitFor(old)
+	second, err := scheduler.Acquire(ctx, SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, Deadline: deadline})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, second.Server().ServerID, qt.Equals, "v2")
+	go acquire(bergamotgrade.ServerSet{Service: "svc"}, anew)
+	waitFor(bergamotgrade.ServerSet{Service: "svc"})
+	first.Release(placement.OutcomeServed)
+	slot := <-resumed
+	qt.Assert(t, slot.Server().ServerID, qt.Equals, "v1")
+	qt.Assert(t, anew, qt.HasLen, 0)
+	slot.Release(placement.OutcomeServed)
+	qt.Assert(t, (<-anew).Server().ServerID, qt.Equals, "v1")
+	scheduler.mu.Lock()
+	defer scheduler.mu.Unlock()
+	qt.Assert(t, scheduler.queues, qt.HasLen, 1) // the queue of a version is removed with its last request
+}
+
+// A stream whose version no longer serves is refused at once, also while it waits.
+func TestVersionWithoutServer(t *testing.T) {
+	scheduler := newScheduler("a")
+	only := bergamotgrade.ServerSet{Service: "svc", OneVersion: true}
+	_, err := scheduler.Acquire(context.Background(), SlotRequest{Servers: only, Deadline: time.Now().Add(time.Minute)})
+	qt.Assert(t, err, qt.IsNil)
+	waited := make(chan error, 1)
+	go func() {
+		_, err := scheduler.Acquire(context.Background(), SlotRequest{Servers: only, Deadline: time.Now().Add(time.Minute)})
+		waited <- err
+	}()
+	time.Sleep(50 * time.Millisecond)
+	scheduler.SetServers(map[string]bergamotgrade.ServerRecord{"b": {ServerID: "b", Service: "svc", DataCentre: "here", SoftwareVersion: "v2", Slots: 1}})
+	qt.Assert(t, bergamotgrade.IsKind(<-waited, bergamotgrade.KindNoBackendServer), qt.IsTrue)
+
+	gone := bergamotgrade.ServerSet{Service: "svc", SoftwareVersion: "v0", OneVersion: true}
+	_, err = scheduler.Acquire(context.Background(), SlotRequest{Servers: gone, Deadline: time.Now().Add(time.Minute)})
+	qt.Assert(t, bergamotgrade.IsKind(err, bergamotgrade.KindNoBackendServer), qt.IsTrue)
+}
