--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
+	"github.com/bergamotgrade/bergamotgrade/scripttest"
 )
 
 // disconnectableStore is one VM's access to a store. While down is set, its calls fail.
@@ -110,6 +111,8 @@
 	monitored *MonitoredStore
 	store     *disconnectableStore
 	peers     *testPeers
+	// peerReaches is set while a peer reaches the store.
+	peerReaches atomic.Bool
 
 	mu        sync.Mutex
 	published map[string]bergamotgrade.Entry
@@ -118,7 +121,7 @@
 func newMirrorFixture(t *testing.T, store *standin.Store) *mirrorFixture {
 	f := &mirrorFixture{store: &disconnectableStore{Store: store}, peers: &testPeers{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	f.monitored = NewMonitoredStore(f.store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
+	f.monitored = NewMonitoredStore(f.store, bergamotgrade.SystemClock{}, f.peerStore, log)
 	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, f.peers, f.publish, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
@@ -128,6 +131,13 @@
 	return f
 }
 
+func (f *mirrorFixture) peerStore() bergamotgrade.KeyValue {
+	if f.peerReaches.Load() {
+		return f.store.Store
+	}
+	return nil
+}
+
 func (f *mirrorFixture) publish(entries map[string]bergamotgrade.Entry) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -196,6 +206,68 @@
 	qt.Assert(t, f.has("servers/back", "2"), qt.IsTrue)
 }
 
+// A VM that alone does not reach the store for seconds must not keep entries that are removed
+// right after its return, or when it learns of them through a peer: they have not expired.
+func TestRemovedServerKeptAfterOwnOutage(t *testing.T) {
+	for _, test := range []struct {
+		name          string
+		removedBefore bool
+	}{{"removed after the return", false}, {"removed during the outage", true}} {
+		t.Run(test.name, func(t *testing.T) {
+			store := standin.NewStore(bergamotgrade.SystemClock{})
+			put(t, store, "servers/left", "1")
+			f := newMirrorFixture(t, store)
+			eventually(t, time.Second, "first copy", func() bool { return f.has("servers/left", "1") })
+			f.peerReaches.Store(true)
+			f.store.down.Store(true)
+			put(t, store, "servers/any", "1") // ends the watch in progress
+			eventually(t, 2*time.Second, "outage detected", f.monitored.Unreachable)
+			time.Sleep(outageThreshold + 200*time.Millisecond)
+			if test.removedBefore {
+				remove(t, store, "servers/left")
+			}
+			f.store.down.Store(false)
+			f.monitored.Probe(context.Background(), 0, time.Second)
+			qt.Assert(t, f.monitored.Unreachable(), qt.IsFalse)
+			if !test.removedBefore {
+				remove(t, store, "servers/left")
+			}
+			eventually(t, time.Second, "removal", func() bool { return f.has("servers/left", "") })
+		})
+	}
+}
+
+// A peer that reaches the store again before this VM does ends the outage, not the grace
+// period: entries that expired while no VM reached it may still be written again.
+func TestGracePeriodBeginsWithFirstReturn(t *testing.T) {
+	clock := scripttest.NewClock()
+	var peerReaches bool
+	down := bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "away", "wait")
+	monitored := NewMonitoredStore(nil, clock, func() bergamotgrade.KeyValue {
+		if peerReaches {
+			return standin.NewStore(clock)
+		}
+		return nil
+	}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	record := func(err error, after time.Duration) {
+		clock.Advance(after)
+		monitored.recordResult(context.Background(), err)
+	}
+	peerReaches = true // other VMs notice the outage a little later
+	record(down, 0)
+	peerReaches = false
+	record(down, 500*time.Millisecond)
+	record(down, 3*time.Second)
+	qt.Assert(t, monitored.InGracePeriod(clock.Now()), qt.IsTrue)
+	peerReaches = true
+	record(down, 500*time.Millisecond)
+	qt.Assert(t, monitored.InGracePeriod(clock.Now().Add(2*time.Second)), qt.IsTrue)
+	qt.Assert(t, monitored.InGracePeriod(clock.Now().Add(recoveryGracePeriod)), qt.IsFalse)
+	record(nil, time.Second)
+	qt.Assert(t, monitored.InGracePeriod(clock.Now()), qt.IsTrue)
+	qt.Assert(t, monitored.InGracePeriod(clock.Now().Add(recoveryGracePeriod-time.Second)), qt.IsFalse)
+}
+
 // TestLostHistoryRestartsOtherWatches guards against a change that one watch misses: the
 // store does not deliver the change to its watches, then discards its history, and the
 // watch goes on waiting. The error of another watch has to restart it, so that the
--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -26,9 +26,12 @@
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// peersReachSince is since when other VMs have reached the store although calls fail here;
+	// zero while none does.
+	peersReachSince time.Time
 	// succeededAt is when a call last succeeded.
 	succeededAt time.Time
-	// recoveredAt is when the last outage of at least outageThreshold ended.
+	// recoveredAt is when the last outage of the store of at least outageThreshold ended.
 	recoveredAt time.Time
 	// historyLostAt is when a call to Changes last found that the store had discarded
 	// its history and the watches were restarted.
@@ -61,14 +64,48 @@
 	return now.Sub(s.succeededAt)
 }
 
-// InGracePeriod reports whether the store has been unreachable for at least
-// outageThreshold or recovered from such an outage less than recoveryGracePeriod ago.
-// Until the period ends, owners may write their expired entries again.
+// InGracePeriod reports whether the store has been away for at least outageThreshold, or came
+// back from such an outage less than recoveryGracePeriod ago. Until the period ends, owners may
+// write their expired entries again. While other VMs reach the store, it is away for this VM
+// only: entries do not expire for that.
 func (s *MonitoredStore) InGracePeriod(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	outage := !s.failingSince.IsZero() && now.Sub(s.failingSince) >= outageThreshold
-	return outage || (!s.recoveredAt.IsZero() && now.Before(s.recoveredAt.Add(recoveryGracePeriod)))
+	recoveredAt := s.recoveredAt
+	if !s.failingSince.IsZero() {
+		end, isOutage := s.outageEnd(now)
+		switch {
+		case isOutage && s.peersReachSince.IsZero():
+			return true
+		case isOutage:
+			recoveredAt = end
+		}
+	}
+	return !recoveredAt.IsZero() && now.Before(recoveredAt.Add(recoveryGracePeriod))
+}
+
+// outageEnd returns until when no VM has reached the store since calls began to fail, which may
+// be now, and whether that was an outage. The caller holds the lock.
+func (s *MonitoredStore) outageEnd(now time.Time) (end time.Time, isOutage bool) {
+	end = now
+	if !s.peersReachSince.IsZero() {
+		end = s.peersReachSince
+	}
+	return end, end.Sub(s.failingSince) >= outageThreshold
+}
+
+// observePeers records whether other VMs reach the store while calls fail here.
+func (s *MonitoredStore) observePeers() {
+	reached := s.peerStore() != nil
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.failingSince.IsZero():
+	case !reached:
+		s.peersReachSince = time.Time{}
+	case s.peersReachSince.IsZero():
+		s.peersReachSince = s.clock.Now()
+	}
 }
 
 // StateChanged returns a channel that is closed when the store next becomes unreachable
@@ -98,6 +135,11 @@
 	if ctx.Err() != nil {
 		return // the caller cancelled the call, which says nothing about the store
 	}
+	if bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
+		s.recordFailure(err)
+		s.observePeers()
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
@@ -106,25 +148,29 @@
 		s.historyLostAt = now
 		s.signalStateChange()
 	}
-	if bergamotgrade.IsKind(err, bergamotgrade.KindPlatformDown) {
-		if s.failingSince.IsZero() {
-			s.failingSince = now
-			s.signalStateChange()
-			s.log.Warn("store unreachable; mirrors keep serving their last copies", "cause", err.Error())
-		}
-		return
-	}
 	s.succeededAt = now
 	if s.failingSince.IsZero() {
 		return
 	}
-	outage := now.Sub(s.failingSince)
-	s.failingSince = time.Time{}
-	s.log.Info("store reachable again", "outage", outage.String())
-	if outage >= outageThreshold {
-		s.recoveredAt = now
+	end, isOutage := s.outageEnd(now)
+	if isOutage {
+		s.recoveredAt = end
+	}
+	s.log.Info("store reachable again", "outage", now.Sub(s.failingSince).String(), "reached_by_no_vm", end.Sub(s.failingSince).String())
+	s.failingSince, s.peersReachSince = time.Time{}, time.Time{}
+	s.signalStateChange()
+}
+
+// recordFailure records a call that the store did not answer or refused.
+func (s *MonitoredStore) recordFailure(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.failingSince.IsZero() {
+		return
 	}
+	s.failingSince = s.clock.Now()
 	s.signalStateChange()
+	s.log.Warn("store unreachable; mirrors keep serving their last copies", "cause", err.Error())
 }
 
 // Direct returns the wrapped store, whose calls never go through a peer.
