Own interface: a completion goes on at engines of one software version

Release notes may now name an engine's software_version; once a completion has a token it goes on at engines of that version only, and fails at once if none is in rotation. Batch items then start anew, as before.

--- a/config.go
+++ b/config.go
@@ -36,6 +36,9 @@
 	// Address is host:port.
 	Address    string `json:"address"`
 	DataCentre string `json:"data_centre,omitempty"`
+	// SoftwareVersion is that of the server's software, not of its models. What two versions
+	// write does not fit together in one stream.
+	SoftwareVersion string `json:"software_version,omitempty"`
 	// Slots is the number of requests that the server runs concurrently.
 	Slots int `json:"slots"`
 	// Leaving marks a server that receives no new requests.
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -247,6 +247,9 @@
 			slot.release(route.OutcomeOK)
 			return nil
 		}
+		if err == nil && !r.request.OneVersion && chunk.Index >= 0 {
+			r.request.OneVersion, r.request.SoftwareVersion = true, slot.server.SoftwareVersion
+		}
 		if err == nil {
 			err = t.forward(chunk)
 		}
--- a/dispatch/pool_dispatcher.go
+++ b/dispatch/pool_dispatcher.go
@@ -84,9 +84,9 @@
 func (p *poolDispatcher) acquire(ctx context.Context, item *queue.Item, request route.Request) (*slot, error) {
 	p.mu.Lock()
 	now := p.clock.Now()
-	if p.routePool.Usable() == 0 {
+	if p.routePool.Usable(request) == 0 {
 		p.mu.Unlock()
-		return nil, bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server is in service", "try again; operators: add a backend server by a release note")
+		return nil, noServerError()
 	}
 	if item.Class == queue.ClassBatch {
 		request.MaxSlotShare = p.batchPolicy.maxSlotShare()
@@ -141,6 +141,10 @@
 	return &slot{pool: p, server: granted.server}, nil
 }
 
+func noServerError() error {
+	return bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server is in service", "try again; operators: add a backend server by a release note")
+}
+
 func queueTimeout() error {
 	return bergamotgrade.NewError(bergamotgrade.KindDeadlineExceeded, "the deadline passed while the request waited for a backend server", "allow more time or try again later")
 }
@@ -157,7 +161,13 @@
 		if item == nil {
 			return
 		}
-		server, ok := p.routePool.Pick(now, p.waiters[item].request)
+		request := p.waiters[item].request
+		if request.OneVersion && p.routePool.Usable(request) == 0 {
+			p.queue.Pop(now)
+			p.sendGrant(item, grant{err: noServerError()})
+			continue
+		}
+		server, ok := p.routePool.Pick(now, request)
 		if !ok {
 			return
 		}
--- a/route/pool.go
+++ b/route/pool.go
@@ -146,6 +146,10 @@
 	Avoid map[string]bool
 	// Allowed limits the choice to these servers of the pool; nil allows all.
 	Allowed map[string]bool
+	// OneVersion limits the choice to the servers of SoftwareVersion, at which a stream that
+	// has begun has to go on. Such a choice goes before Batch.
+	OneVersion      bool
+	SoftwareVersion string
 	// Batch limits the choice to the servers to which this VM sends batch work.
 	Batch bool
 	// MaxSlotShare bounds the fraction of a server's slots that are in use with this
@@ -190,8 +194,8 @@
 	for _, id := range p.serverIDs {
 		s := p.servers[id]
 		switch {
-		case s.record.Leaving || (request.Allowed != nil && !request.Allowed[id]):
-		case request.Batch && !p.batchServers[id]:
+		case !s.mayRun(request):
+		case request.Batch && !request.OneVersion && !p.batchServers[id]:
 		case request.Avoid[id]:
 			avoided = append(avoided, s)
 		case s.ejected(now):
@@ -222,11 +226,19 @@
 	return withCapacity
 }
 
-// Usable returns the number of servers that are not leaving.
-func (p *Pool) Usable() int {
+// mayRun reports whether the server is in rotation and one of those that the request is limited
+// to.
+func (s *server) mayRun(request Request) bool {
+	isAllowed := request.Allowed == nil || request.Allowed[s.record.BackendServerID]
+	return !s.record.Leaving && isAllowed && (!request.OneVersion || s.record.SoftwareVersion == request.SoftwareVersion)
+}
+
+// Usable returns the number of servers that are not leaving and that the request is not kept
+// from.
+func (p *Pool) Usable(request Request) int {
 	usable := 0
 	for _, s := range p.servers {
-		if !s.record.Leaving {
+		if s.mayRun(request) {
 			usable++
 		}
 	}
