--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -27,6 +27,8 @@
 	address string
 	engines map[string]*standin.Engine
 	nodes   map[string]*testNode
+	// started holds all VMs that were started.
+	started []*testNode
 	version int
 }
 
@@ -43,9 +45,20 @@
 	f.server = standin.NewStoreServer(f.store)
 	f.address = f.serve(f.server)
 	f.configure("k1")
+	t.Cleanup(f.stopVMs)
 	return f
 }
 
+// stopVMs stops all VMs at the same time, as each takes seconds.
+func (f *testFleet) stopVMs() {
+	for _, node := range f.started {
+		node.stop()
+	}
+	for _, node := range f.started {
+		<-node.stopped
+	}
+}
+
 func (f *testFleet) serve(handler http.Handler) string {
 	server := httptest.NewServer(handler)
 	f.t.Cleanup(server.CloseClientConnections)
@@ -99,7 +112,7 @@
 		qt.Check(f.t, node.Run(ctx), qt.IsNil)
 	}()
 	f.nodes[settings.VMID] = running
-	f.t.Cleanup(func() { running.stop(); <-running.stopped })
+	f.started = append(f.started, running)
 	f.waitFor("VM is ready and knows all engines", 5*time.Second, func() bool { return node.ready() && len(node.serverRecords()) == len(f.engines) })
 	return running
 }
