Soak: a request that comes again, two software versions, streams taken up

Odd seeds send one request again and again under which engines end, even ones requests with a prompt part, as before.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"log/slog"
 	"net/http"
@@ -16,8 +17,10 @@
 type outcome struct {
 	path   string
 	sentAt time.Time
-	reply  standin.Reply
-	err    error
+	// resumedAfter is the number of events that the caller had before; zero begins the stream.
+	resumedAfter int
+	reply        standin.Reply
+	err          error
 }
 
 // served reports whether the caller got a complete answer with status 200.
@@ -70,11 +73,23 @@
 	c.reportViolation("ENDED", fmt.Sprintf("process of %s exited without a signal of the soak: %v", vmID, err))
 }
 
-// recordRequest records a request before it is sent.
-func (c *checker) recordRequest(id, path string) {
+// recordRequest records a request before it is sent. It takes a stream up unless resumedAfter
+// is zero.
+func (c *checker) recordRequest(id, path string, resumedAfter int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.requests[id] = outcome{path: path, sentAt: time.Now(), err: errPending}
+	c.requests[id] = outcome{path: path, sentAt: time.Now(), resumedAfter: resumedAfter, err: errPending}
+}
+
+// brokenAfter returns the number of whole events after which the stream of the request broke
+// off; zero if it did not, or before the first one.
+func (c *checker) brokenAfter(id string) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.requests[id]; o.err != nil && o.reply.Status == http.StatusOK {
+		return strings.Count(o.reply.Body, "\n\n")
+	}
+	return 0
 }
 
 // recordAnswer records the outcome of a request. It reports MIXED if a complete answer is
@@ -87,7 +102,7 @@
 	o.reply, o.err = reply, err
 	c.requests[id] = o
 	switch {
-	case o.served() && (reply.Body != standin.StreamText(id) || reply.Signature != "seal-"+id):
+	case o.served() && (reply.Body != standin.StreamTextAfter(id, o.resumedAfter) || reply.Signature != "seal-"+id):
 		c.addViolation("MIXED", fmt.Sprintf("request %s got body %q with signature %q", id, reply.Body, reply.Signature))
 	case err == nil && reply.Status >= 300 && reply.Status < 500 && reply.Status != http.StatusTooManyRequests:
 		c.addViolation("DENIED", fmt.Sprintf("request %s was answered with status %d: %s", id, reply.Status, reply.Body))
@@ -203,6 +218,7 @@
 			items[id] = j
 		}
 	}
+	c.checkVersions(engines)
 	counts, failures := map[string]int{}, map[string]int{}
 	var limited []time.Time
 	for _, e := range engines {
@@ -235,6 +251,34 @@
 	c.checkRate(limited)
 }
 
+// checkVersions checks that no stream goes on at another service or software version than the
+// one that began it.
+func (c *checker) checkVersions(engines []*engine) {
+	type run struct {
+		standin.Run
+		origin string
+	}
+	var runs []run
+	for _, e := range engines {
+		for _, r := range e.Runs() {
+			if _, isRequest := c.requests[r.RequestID]; isRequest {
+				runs = append(runs, run{r, e.service + " " + r.Version})
+			}
+		}
+	}
+	sort.Slice(runs, func(i, j int) bool { return runs[i].At.Before(runs[j].At) })
+	begunAt := map[string]string{}
+	for _, r := range runs {
+		id := cmp.Or(r.Resumes, r.RequestID)
+		switch {
+		case r.ResumeAfter == 0:
+			begunAt[id] = r.origin
+		case begunAt[id] != r.origin:
+			c.addViolation("ORDER", fmt.Sprintf("stream %s began at %s and goes on as %s after event %d at %s", id, begunAt[id], r.RequestID, r.ResumeAfter, r.origin))
+		}
+	}
+}
+
 // checkRun checks one run of an engine; item is the job of the batch item, nil for the run
 // of a request.
 func (c *checker) checkRun(e *engine, run standin.Run, item *job) {
@@ -272,7 +316,9 @@
 	Requests int
 	Served   int
 	Refused  int
-	Jobs     int
+	// TakenUp counts the streams that callers took up, WentOn those of them that were served.
+	TakenUp, WentOn int
+	Jobs            int
 	// Items is the number of batch items with a result.
 	Items int
 }
@@ -282,6 +328,12 @@
 	defer c.mu.Unlock()
 	t := Totals{Requests: len(c.requests), Jobs: len(c.jobs)}
 	for _, o := range c.requests {
+		if o.resumedAfter > 0 {
+			t.TakenUp++
+			if o.served() {
+				t.WentOn++
+			}
+		}
 		switch {
 		case o.served():
 			t.Served++
--- a/soak/command.go
+++ b/soak/command.go
@@ -109,8 +109,8 @@
 // String returns the report as lines of text.
 func (r Report) String() string {
 	t := r.Totals
-	line := fmt.Sprintf("seed %d (%s): %d faults, %d requests (%d served, %d refused), %d jobs, %d items, %d guarantees violated",
-		r.Seed, r.Size, len(r.Faults), t.Requests, t.Served, t.Refused, t.Jobs, t.Items, len(r.Violations))
+	line := fmt.Sprintf("seed %d (%s): %d faults, %d requests (%d served, %d refused), %d streams taken up (%d went on), %d jobs, %d items, %d guarantees violated",
+		r.Seed, r.Size, len(r.Faults), t.Requests, t.Served, t.Refused, t.TakenUp, t.WentOn, t.Jobs, t.Items, len(r.Violations))
 	if len(r.Violations) > 0 {
 		line += "\n  violation: " + strings.Join(r.Violations, "\n  violation: ") + "\n  fault: " + strings.Join(r.Faults, "\n  fault: ")
 	}
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -20,6 +20,10 @@
 	// sequence over kept-alive connections and pauses for callerPause before each.
 	callersPerVM = 6
 	callerPause  = 40 * time.Millisecond
+	// breakInterval is the pause between two streams that a caller breaks off after breakAfter
+	// events and takes up at another VM.
+	breakInterval = 120 * time.Millisecond
+	breakAfter    = 2
 	// limitedRate (requests per second) and limitedBurst are the limits of the limited
 	// team. They are lower than the load of its callers, so that the limiter must refuse.
 	limitedRate  = 20
@@ -82,11 +86,16 @@
 	crashingPart      = "crash"
 	crashInterval     = 300 * time.Millisecond
 	crashRestartDelay = time.Second
-	// crashSettleTime is the time after crashesToSettle ends of engines from which on at most
-	// maxLateCrashes of these requests may reach engines.
-	crashSettleTime = 3 * time.Second
-	crashesToSettle = 5
-	maxLateCrashes  = 3
+	// repeatedPath and crashingBody are the path and body of the request that comes again, and
+	// under which engines end, in the runs in which no prompt part does that.
+	repeatedPath = "repeated"
+	crashingBody = "crash"
+	// crashSettleTime is the time after partCrashesToSettle, or requestCrashesToSettle, ends of
+	// engines from which on at most maxLateCrashes of these requests may reach engines.
+	crashSettleTime        = 3 * time.Second
+	partCrashesToSettle    = 5
+	requestCrashesToSettle = 3
+	maxLateCrashes         = 3
 	// faultEndMargin is how much longer than planned ending a fault may take; planned stops
 	// may take stopGracePeriod.
 	faultEndMargin = time.Second
--- a/soak/crasher.go
+++ b/soak/crasher.go
@@ -14,6 +14,8 @@
 type crasher struct {
 	load     *loadGenerator
 	injector *injector
+	// repeats is set if one request that comes again ends engines, instead of a prompt part.
+	repeats bool
 	// restarting counts the engines that are to start again.
 	restarting sync.WaitGroup
 
@@ -22,10 +24,14 @@
 	endedAt []time.Time
 }
 
-func newCrasher(load *loadGenerator, injector *injector) *crasher {
-	c := &crasher{load: load, injector: injector}
+func newCrasher(load *loadGenerator, injector *injector, repeats bool) *crasher {
+	c := &crasher{load: load, injector: injector, repeats: repeats}
+	crashes := standin.WithPart(crashingPart)
+	if repeats {
+		crashes = standin.WithBody(standin.OncePath+repeatedPath, crashingBody)
+	}
 	for n, e := range load.fleet.engines {
-		e.CrashOn(standin.WithPart(crashingPart), func() { c.end(n) })
+		e.CrashOn(crashes, func() { c.end(n) })
 	}
 	return c
 }
@@ -57,23 +63,32 @@
 	var requests sync.WaitGroup
 	for i := 0; bergamotgrade.Sleep(ctx, crashInterval); i++ {
 		vm := i % c.load.fleet.size.entryVMs
-		caller := c.load.fleet.newCaller(vm, mainKey, c.load.client)
-		caller.PromptParts = fmt.Sprintf("shared%d:10,%s:10,own%d:10", vm, crashingPart, i)
-		requests.Go(func() { c.load.send(caller, standin.OncePath, fmt.Sprintf("crash%d-%d", vm, i)) })
+		caller, id := c.load.fleet.newCaller(vm, mainKey, c.load.client), fmt.Sprintf("crash%d-%d", vm, i)
+		path := standin.OncePath + id
+		if c.repeats {
+			caller.Body, path = crashingBody, standin.OncePath+repeatedPath
+		} else {
+			caller.PromptParts = fmt.Sprintf("shared%d:10,%s:10,own%d:10", vm, crashingPart, i)
+		}
+		requests.Go(func() { c.load.send(caller, path, id) })
 	}
 	requests.Wait()
 	c.restarting.Wait()
 }
 
 // check reports BUDGET if more than maxLateCrashes of the requests reached engines later than
-// crashSettleTime after the fifth end, sent by VMs that no fault kept from learning of it.
+// crashSettleTime after the last end before which they need not be known, sent by VMs that no fault kept from learning of it.
 func (c *crasher) check() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.endedAt) < crashesToSettle {
+	toSettle := partCrashesToSettle
+	if c.repeats {
+		toSettle = requestCrashesToSettle
+	}
+	if len(c.endedAt) < toSettle {
 		return
 	}
-	settledAt, late := c.endedAt[crashesToSettle-1].Add(crashSettleTime), 0
+	settledAt, late := c.endedAt[toSettle-1].Add(crashSettleTime), 0
 	for _, e := range c.load.fleet.engines {
 		for _, run := range e.Runs() {
 			var vm, number int
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -76,9 +76,9 @@
 		return f, err
 	}
 	for i := range size.engines {
-		service := []string{serviceOne, serviceTwo}[i%2]
+		service, version := []string{serviceOne, serviceTwo}[i%2], []string{"v1", "v2"}[i/2%2]
 		standinEngine := standin.NewEngine(standin.EngineConfig{
-			ServerID: fmt.Sprint("engine", i), Service: service, DataCentre: size.engineDataCentre(i), Slots: engineSlots, EventTime: eventTime,
+			ServerID: fmt.Sprint("engine", i), Service: service, DataCentre: size.engineDataCentre(i), Version: version, Slots: engineSlots, EventTime: eventTime,
 		})
 		address, err := f.serve(standinEngine)
 		if err != nil {
--- a/soak/load.go
+++ b/soak/load.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -17,6 +18,9 @@
 // errPending is the outcome of a request that has no answer yet.
 var errPending = errors.New("no answer yet")
 
+// errBrokenOff is the outcome of a request whose caller has closed the connection.
+var errBrokenOff = errors.New("the caller broke the stream off")
+
 // loadGenerator sends requests and batch jobs to a fleet and reads the results.
 type loadGenerator struct {
 	fleet   *fleet
@@ -39,6 +43,7 @@
 		for n := range callersPerVM {
 			g.running.Go(func() { g.runCaller(ctx, vm, n) })
 		}
+		g.running.Go(func() { g.runBreaker(ctx, vm) })
 	}
 	g.running.Go(func() { g.runJobs(ctx) })
 	g.running.Go(func() { g.runResultsReader(ctx) })
@@ -55,18 +60,46 @@
 	}
 	caller := g.fleet.newCaller(vm, key, g.client)
 	for i := 0; bergamotgrade.Sleep(ctx, callerPause); i++ {
-		g.send(caller, path, fmt.Sprintf("r%d-%d-%d", vm, n, i))
+		id := fmt.Sprintf("r%d-%d-%d", vm, n, i)
+		if !g.send(caller, path+id, id) && path == standin.ResumePath {
+			g.takeUp(vm, key, path+id, id, g.checker.brokenAfter(id))
+		}
 	}
 }
 
 // send sends one request, records its outcome and reports whether it was served.
 func (g *loadGenerator) send(caller standin.Caller, path, id string) bool {
-	g.checker.recordRequest(id, path)
-	reply, err := caller.Stream(path+id, id)
+	g.checker.recordRequest(id, path, 0)
+	reply, err := caller.Stream(path, id)
 	g.checker.recordAnswer(id, reply, err)
 	return outcome{reply: reply, err: err}.served()
 }
 
+// runBreaker begins streams, closes their connections in the middle and takes them up.
+func (g *loadGenerator) runBreaker(ctx context.Context, vm int) {
+	caller := g.fleet.newCaller(vm, mainKey, g.client)
+	for i := 0; bergamotgrade.Sleep(ctx, breakInterval); i++ {
+		id := fmt.Sprintf("broken%d-%d", vm, i)
+		path := standin.ResumePath + id
+		g.checker.recordRequest(id, path, 0)
+		events, err := caller.StreamUntil(path, id, breakAfter)
+		g.checker.recordAnswer(id, standin.Reply{}, cmp.Or(err, errBrokenOff))
+		g.takeUp(vm, mainKey, path, id, events)
+	}
+}
+
+// takeUp takes up the stream of the request, of which its caller has the events, at the next
+// entry VM.
+func (g *loadGenerator) takeUp(vm int, key, path, id string, events int) {
+	if events == 0 {
+		return
+	}
+	next := id + "-resumed"
+	g.checker.recordRequest(next, path, events)
+	reply, err := g.fleet.newCaller((vm+1)%g.fleet.size.entryVMs, key, g.client).Resume(path, next, id, events)
+	g.checker.recordAnswer(next, reply, err)
+}
+
 // runJobs submits batch jobs until the context is cancelled.
 func (g *loadGenerator) runJobs(ctx context.Context) {
 	for i := 0; bergamotgrade.Sleep(ctx, jobInterval); i++ {
--- a/soak/run.go
+++ b/soak/run.go
@@ -58,7 +58,7 @@
 	defer cancel()
 	startedAt := time.Now()
 	injector := newInjector(f, plan, startedAt)
-	crasher := newCrasher(load, injector)
+	crasher := newCrasher(load, injector, options.Seed%2 == 1)
 	load.running.Go(func() { crasher.run(ctx) })
 	load.running.Go(func() {
 		injector.run()
@@ -80,7 +80,7 @@
 	deadline := time.Now().Add(recoveryTimeout)
 	for vm := range g.fleet.size.entryVMs {
 		caller := g.fleet.newCaller(vm, mainKey, g.client)
-		for n := 0; !g.send(caller, standin.OncePath, fmt.Sprintf("back%d-%d", vm, n)); n++ {
+		for n := 0; !g.send(caller, standin.OncePath+"back", fmt.Sprintf("back%d-%d", vm, n)); n++ {
 			if time.Now().After(deadline) {
 				g.checker.reportViolation("RECOVER", fmt.Sprintf("vm%d does not serve requests %s after the last fault", vm, recoveryTimeout))
 				return
@@ -91,7 +91,7 @@
 	time.Sleep(time.Until(deadline.Add(-sampleDuration)))
 	for n := 0; time.Now().Before(deadline); n++ {
 		vm := n % g.fleet.size.entryVMs
-		if id := fmt.Sprintf("calm%d-%d", vm, n); !g.send(g.fleet.newCaller(vm, mainKey, g.client), standin.ResumePath, id) {
+		if id := fmt.Sprintf("calm%d-%d", vm, n); !g.send(g.fleet.newCaller(vm, mainKey, g.client), standin.ResumePath+id, id) {
 			o := g.checker.requests[id]
 			g.checker.reportViolation("RECOVER", fmt.Sprintf("request %s was answered with status %d (error %v) after the recovery: %s", id, o.reply.Status, o.err, o.reply.Body))
 			return
