--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -38,7 +38,7 @@
 type Answer struct {
 	// Found is set if the VM has the record.
 	Found  bool                       `json:"found,omitempty"`
-	Record bergamotgrade.StreamRecord `json:"record,omitempty"`
+	Record bergamotgrade.StreamRecord `json:"record"`
 	// IsOnly is set if the service has had no other version than OnlyVersion for long.
 	IsOnly      bool   `json:"is_only,omitempty"`
 	OnlyVersion string `json:"only_version,omitempty"`
@@ -53,7 +53,7 @@
 	mu       sync.Mutex
 	versions *versions
 	records  *records
-	// mixed holds the services that have had several versions since the last SetServers.
+	// mixed holds the services that had several versions at the last SetServers.
 	mixed map[string]bool
 }
 
@@ -83,8 +83,10 @@
 	for service := range serving {
 		recent := t.versions.recent(now, service)
 		if isMixed := len(recent) > 1; isMixed != t.mixed[service] {
-			t.mixed[service] = isMixed
 			newlyMixed[service] = isMixed
+			if t.mixed[service] = isMixed; !isMixed {
+				delete(t.mixed, service)
+			}
 			t.log.Info("software versions of the service changed", "service", service, "versions", recent)
 		}
 	}
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -17,8 +17,8 @@
 
 // StreamOrigin names the software that began a stream; the stream may go on there only.
 type StreamOrigin struct {
-	Service         string
-	SoftwareVersion string
+	Service         string `json:"service"`
+	SoftwareVersion string `json:"software_version"`
 }
 
 // OriginOf returns the origin of the streams that the server begins.
@@ -41,10 +41,10 @@
 // StreamRecord says where the stream of a request began.
 type StreamRecord struct {
 	// Key is a hash of the request's id.
-	Key    uint64
-	Origin StreamOrigin
+	Key    uint64       `json:"key"`
+	Origin StreamOrigin `json:"origin"`
 	// Attempt orders the records of one request, of which the last one counts.
-	Attempt int
+	Attempt int `json:"attempt"`
 }
 
 // StreamOrigins knows where streams began, also those that began at other VMs.
