Origin: the questions to other VMs share no variable with the wait for answers

go test -race ./origin found it: the wait for further answers replaced the context that the questions were still reading. Questions are a method.

--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -226,33 +226,41 @@
 func (t *Tracker) ask(ctx context.Context, vmIDs []string, question Question) []Answer {
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
-	replies := make(chan *Answer, len(vmIDs))
+	replies := make(chan reply, len(vmIDs))
 	for _, vmID := range vmIDs {
-		go func() {
-			answer, err := t.fleet.AskOrigin(ctx, vmID, question)
-			if err != nil {
-				t.log.Info("VM does not tell where a stream began", "peer", vmID, "cause", err.Error())
-				replies <- nil
-				return
-			}
-			replies <- &answer
-		}()
+		go t.runQuestion(ctx, vmID, question, replies)
 	}
 	var answers []Answer
+	var late <-chan time.Time
 	for range vmIDs {
 		select {
 		case reply := <-replies:
-			if reply == nil {
+			if reply.err != nil {
 				continue
 			}
-			if answers = append(answers, *reply); reply.Found {
-				late, cancelLate := context.WithTimeout(ctx, lateAnswerDelay)
-				defer cancelLate()
-				ctx = late
+			if answers = append(answers, reply.answer); reply.answer.Found && late == nil {
+				late = time.After(lateAnswerDelay)
 			}
+		case <-late:
+			return answers
 		case <-ctx.Done():
 			return answers
 		}
 	}
 	return answers
 }
+
+// reply is the outcome of a question to one VM.
+type reply struct {
+	answer Answer
+	err    error
+}
+
+// runQuestion asks one VM; replies has to have room for the reply.
+func (t *Tracker) runQuestion(ctx context.Context, vmID string, question Question, replies chan<- reply) {
+	answer, err := t.fleet.AskOrigin(ctx, vmID, question)
+	if err != nil {
+		t.log.Info("VM does not tell where a stream began", "peer", vmID, "cause", err.Error())
+	}
+	replies <- reply{answer, err}
+}
