--- a/review/fleet/main.go
+++ b/review/fleet/main.go
@@ -17,7 +17,7 @@
 		fmt.Fprintln(os.Stderr, "usage: review-fleet CASE FOLDER")
 		os.Exit(exitNotRun)
 	}
-	cases := map[string]func(*record, bool) int{"orphaned-jobs": runOrphanedJobs}
+	cases := map[string]func(*record, bool) int{"orphaned-jobs": runOrphanedJobs, "smuggling": runSmuggling, "nested-ids": runNestedIDs}
 	run, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case")
