--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -105,9 +105,9 @@
 	// removedAt is the revision of the copy at the last removal of an entry.
 	removedAt int64
 	// pendingRemoval holds the keys of entries that the store has removed, probably
-	// because their leases expired during an outage. The entries stay readable until
-	// the grace period ends.
-	pendingRemoval map[string]bool
+	// because their leases expired during an outage. Each stays readable until its time, and
+	// until the grace period of this VM ends.
+	pendingRemoval map[string]time.Time
 }
 
 // Copy is one VM's copy of a prefix as of a revision of the store, without the
@@ -122,6 +122,10 @@
 	Keys []string `json:"keys,omitempty"`
 	// KeysOmitted is set if Keys is not given.
 	KeysOmitted bool `json:"keys_omitted,omitempty"`
+	// Retained lists the keys of the entries that the store has removed and the VM keeps until
+	// its grace period ends. The removals precede Revision, so no watch from there on reports
+	// them.
+	Retained []string `json:"retained,omitempty"`
 }
 
 // Position is the state of a copy.
@@ -189,7 +193,7 @@
 func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, fetchInterval time.Duration, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
 		kv: kv, clock: clock, prefix: prefix, start: start, fetchInterval: fetchInterval, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
-		entries: map[string]bergamotgrade.Entry{}, pendingRemoval: map[string]bool{},
+		entries: map[string]bergamotgrade.Entry{}, pendingRemoval: map[string]time.Time{},
 	}
 }
 
@@ -249,6 +253,9 @@
 			copied.Entries = append(copied.Entries, entry)
 		}
 	}
+	for key := range m.pendingRemoval {
+		copied.Retained = append(copied.Retained, key)
+	}
 	return copied
 }
 
@@ -440,12 +447,16 @@
 		fetched = true
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	// Up to the revision of the source nothing has changed that this copy has not.
 	m.revision = max(m.revision, source.Position.Revision)
 	if confirmedAt := now.Add(-source.Age); confirmedAt.After(m.confirmedAt) {
 		m.confirmedAt = confirmedAt
 	}
+	changed := m.dropExpired(now)
+	m.mu.Unlock()
+	if changed {
+		m.publish()
+	}
 	return fetched, nil
 }
 
@@ -487,7 +498,8 @@
 
 // applyCopy brings the mirror to the state of a copy, unless the copy is older.
 // onMissing is called for each entry that is not in the copy. For a copy from a peer it
-// can drop the entry: the peer's copy still has the entries of a running grace period.
+// can drop the entry: the peer's copy still has the entries of a running grace period, and
+// names them in Retained.
 func (m *Mirror) applyCopy(copied Copy, onMissing func(now time.Time, key string)) {
 	m.mu.Lock()
 	if copied.Revision < m.revision {
@@ -502,6 +514,9 @@
 	for _, entry := range copied.Entries {
 		m.put(entry)
 	}
+	for _, key := range copied.Retained {
+		m.retain(key, now.Add(recoveryGracePeriod))
+	}
 	listed := make(map[string]bool, len(copied.Keys))
 	for _, key := range copied.Keys {
 		listed[key] = true
@@ -571,12 +586,13 @@
 	}
 }
 
-// put stores the entry unless the mirror has a newer one. The caller holds the lock.
+// put stores the entry unless the mirror already has it or a newer one; an entry that is
+// pending removal stays so until it is written again. The caller holds the lock.
 func (m *Mirror) put(entry bergamotgrade.Entry) {
-	delete(m.pendingRemoval, entry.Key)
-	if current, ok := m.entries[entry.Key]; ok && current.Revision > entry.Revision {
+	if current, ok := m.entries[entry.Key]; ok && current.Revision >= entry.Revision {
 		return
 	}
+	delete(m.pendingRemoval, entry.Key)
 	m.entries[entry.Key] = entry
 }
 
@@ -584,12 +600,23 @@
 // The caller holds the lock.
 func (m *Mirror) removeOrRetain(now time.Time, key string) {
 	if m.kv.InGracePeriod(now) {
-		m.pendingRemoval[key] = true
+		m.retain(key, now)
 		return
 	}
 	m.remove(key)
 }
 
+// retain marks the entry, if there is one, for removal at the time or at the end of the grace
+// period of this VM, whichever is later. The caller holds the lock.
+func (m *Mirror) retain(key string, until time.Time) {
+	if _, ok := m.entries[key]; !ok {
+		return
+	}
+	if pending, ok := m.pendingRemoval[key]; !ok || until.Before(pending) {
+		m.pendingRemoval[key] = until
+	}
+}
+
 // remove deletes the entry. The caller holds the lock.
 func (m *Mirror) remove(key string) {
 	delete(m.entries, key)
@@ -604,15 +631,19 @@
 
 // dropExpired deletes the entries that are still pending removal once the grace period
 // is over, and reports whether there were any. The caller holds the lock.
-func (m *Mirror) dropExpired(now time.Time) bool {
+func (m *Mirror) dropExpired(now time.Time) (dropped bool) {
 	if len(m.pendingRemoval) == 0 || m.kv.InGracePeriod(now) {
 		return false
 	}
-	for key := range m.pendingRemoval {
-		m.remove(key)
+	for key, until := range m.pendingRemoval {
+		if now.Before(until) {
+			continue
+		}
+		m.dropEntry(now, key)
+		m.changedAt = m.revision
+		dropped = true
 	}
-	clear(m.pendingRemoval)
-	return true
+	return dropped
 }
 
 // publish passes all entries to onChange.
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -407,3 +407,105 @@
 	time.Sleep(time.Second)
 	qt.Assert(t, f.UpToDate(600*time.Millisecond), qt.IsFalse)
 }
+
+func (m *Mirror) hasPendingRemoval(key string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.pendingRemoval[key]
+	return ok
+}
+
+// steppedMirror is a mirror whose steps the test makes one by one, on a clock of its own.
+type steppedMirror struct {
+	*Mirror
+	monitored *MonitoredStore
+}
+
+func newSteppedMirror(store *standin.Store, clock bergamotgrade.Clock, peers Peers) steppedMirror {
+	log := slog.New(slog.NewTextHandler(io.Discard, nil))
+	monitored := NewMonitoredStore(store, clock, func() bergamotgrade.KeyValue { return nil }, log)
+	return steppedMirror{NewMirror(monitored, clock, "servers/", StartAtOnce, 0, peers, func(map[string]bergamotgrade.Entry) {}, log), monitored}
+}
+
+func (m steppedMirror) keys() map[string]bool {
+	keys := map[string]bool{}
+	for _, entry := range m.CopySince(Position{}).Entries {
+		keys[entry.Key] = true
+	}
+	return keys
+}
+
+// followOnce makes the mirror follow the source as it is now.
+func (m steppedMirror) followOnce(t *testing.T, source steppedMirror) {
+	t.Helper()
+	_, err := m.follow(context.Background(), Source{Address: "source", Position: source.position()})
+	qt.Assert(t, err, qt.IsNil)
+}
+
+// loseEntryInOutage returns a source and a follower that have noticed an outage of the store in
+// which the entry expired; both keep it for the grace period that has just begun.
+func loseEntryInOutage(t *testing.T, store *standin.Store, clock *scripttest.Clock, key string) (source, follower steppedMirror) {
+	t.Helper()
+	peers := &testPeers{}
+	source, follower = newSteppedMirror(store, clock, &testPeers{}), newSteppedMirror(store, clock, peers)
+	peers.set(source.Mirror)
+	qt.Assert(t, source.list(context.Background(), false), qt.IsNil)
+	follower.followOnce(t, source)
+	down := bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "away", "wait")
+	for _, err := range []error{down, nil} {
+		source.monitored.recordResult(context.Background(), err)
+		follower.monitored.recordResult(context.Background(), err)
+		clock.Advance(2 * outageThreshold)
+	}
+	clock.Advance(-2 * outageThreshold)
+	remove(t, store, key)
+	qt.Assert(t, source.watch(context.Background()), qt.IsNil)
+	follower.followOnce(t, source)
+	qt.Assert(t, source.keys()[key], qt.IsTrue)
+	qt.Assert(t, follower.keys()[key], qt.IsTrue)
+	return source, follower
+}
+
+// TestWatcherByHandoverDropsExpiredEntry guards against jobs that are never taken over: a VM
+// copies an entry that has expired during an outage, becomes the watcher, and keeps it for good.
+func TestWatcherByHandoverDropsExpiredEntry(t *testing.T) {
+	store, clock := standin.NewStore(bergamotgrade.SystemClock{}), scripttest.NewClock()
+	put(t, store, "servers/gone", "1")
+	put(t, store, "servers/stays", "1")
+	_, follower := loseEntryInOutage(t, store, clock, "servers/gone")
+	clock.Advance(recoveryGracePeriod)
+	put(t, store, "servers/stays", "2")
+	qt.Assert(t, follower.watch(context.Background()), qt.IsNil)
+	qt.Assert(t, follower.keys(), qt.DeepEquals, map[string]bool{"servers/stays": true})
+}
+
+// TestFollowerDropsExpiredEntryOfQuietStore guards against expired entries that only the watcher
+// drops: the end of a grace period is no change of the store and has no revision of its own.
+func TestFollowerDropsExpiredEntryOfQuietStore(t *testing.T) {
+	store, clock := standin.NewStore(bergamotgrade.SystemClock{}), scripttest.NewClock()
+	put(t, store, "servers/gone", "1")
+	source, follower := loseEntryInOutage(t, store, clock, "servers/gone")
+	clock.Advance(recoveryGracePeriod)
+	qt.Assert(t, source.watch(context.Background()), qt.IsNil)
+	qt.Assert(t, source.keys(), qt.HasLen, 0)
+	follower.followOnce(t, source)
+	qt.Assert(t, follower.keys(), qt.HasLen, 0)
+}
+
+// TestPendingRemovalSurvivesOlderCopy guards against a mark that is lost because another VM hands
+// out the expired entry as an ordinary one; only a new write of the entry takes the mark away.
+func TestPendingRemovalSurvivesOlderCopy(t *testing.T) {
+	clock := scripttest.NewClock()
+	m := newSteppedMirror(nil, clock, &testPeers{})
+	expired := bergamotgrade.Entry{Key: "servers/gone", Revision: 3}
+	m.applyCopy(Copy{Revision: 9, Entries: []bergamotgrade.Entry{expired}, Keys: []string{expired.Key}, Retained: []string{expired.Key}}, m.dropEntry)
+	m.applyCopy(Copy{Revision: 9, Entries: []bergamotgrade.Entry{expired}, Keys: []string{expired.Key}}, m.dropEntry)
+	qt.Assert(t, m.hasPendingRemoval(expired.Key), qt.IsTrue)
+	clock.Advance(recoveryGracePeriod)
+	m.applyCopy(Copy{Revision: 10, KeysOmitted: true}, m.dropEntry)
+	qt.Assert(t, m.keys(), qt.HasLen, 0)
+	written := bergamotgrade.Entry{Key: expired.Key, Revision: 11}
+	m.applyCopy(Copy{Revision: 11, Entries: []bergamotgrade.Entry{written}, KeysOmitted: true}, m.dropEntry)
+	qt.Assert(t, m.hasPendingRemoval(expired.Key), qt.IsFalse)
+	qt.Assert(t, m.keys(), qt.HasLen, 1)
+}
