--- a/attempt.go
+++ b/attempt.go
@@ -5,6 +5,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // Attempt is one dispatch of an opaque request to a backend server.
@@ -33,6 +35,10 @@
 	Repeatable bool
 }
 
+// ErrUnsendable is wrapped by the error of an attempt that cannot be written as one HTTP
+// request; it was not sent, and no server can run it.
+var ErrUnsendable = errors.New("the request cannot be written as one HTTP request")
+
 // RateLimit is the limit that a server names in an answer: the requests per second that it
 // takes from all VMs together.
 type RateLimit struct {
--- a/jobs/items_test.go
+++ b/jobs/items_test.go
@@ -100,3 +100,18 @@
 	found := byItem(vm.waitForResults(t, "j", 1, 5*time.Second))
 	qt.Assert(t, found["ends"], qt.Equals, Result{ItemID: "ends", Text: "ends-1\nends-2\nends-3\nends-4"})
 }
+
+// TestStoredItemThatCannotBeSent guards against an item that was stored before submissions were
+// checked: it is abandoned at once and holds no slot in attempts that cannot succeed.
+func TestStoredItemThatCannotBeSent(t *testing.T) {
+	f := newFleet()
+	f.engine.unsendable = "split"
+	vm := f.start(t, "vm1")
+	qt.Assert(t, vm.submit("j", "split", "plain"), qt.IsNil)
+	found := byItem(vm.waitForResults(t, "j", 2, 5*time.Second))
+	qt.Assert(t, found["split"], qt.Equals, Result{ItemID: "split", State: ResultAbandoned})
+	qt.Assert(t, found["plain"].State, qt.Equals, ResultDone)
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	qt.Assert(t, f.engine.runs["split"], qt.Equals, 1)
+}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -79,6 +79,8 @@
 	runTimeStep time.Duration
 	// failingServers holds the ids of the servers that fail all requests.
 	failingServers map[string]bool
+	// unsendable is the id of an item that cannot be written as one HTTP request.
+	unsendable string
 }
 
 func (e *engine) Exchange(ctx context.Context, server bergamotgrade.ServerRecord, attempt bergamotgrade.Attempt) (*bergamotgrade.Answer, error) {
@@ -90,6 +92,9 @@
 		e.resumes = append(e.resumes, attempt.RequestID+" after "+attempt.ResumeAfter)
 	}
 	e.mu.Unlock()
+	if attempt.RequestID == e.unsendable {
+		return nil, bergamotgrade.NotSent(bergamotgrade.ErrUnsendable)
+	}
 	if runTime > 0 {
 		bergamotgrade.Sleep(ctx, runTime)
 	}
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -151,6 +151,8 @@
 			runner.recordRunTime(runTime)
 		}
 		i.job.finish(i, Result{ItemID: i.item.ItemID, State: ResultDone, Text: strings.Join(i.text, "\n")})
+	case errors.Is(err, bergamotgrade.ErrUnsendable):
+		i.abandon(err.Error()) // accepted before submissions were checked
 	case errors.Is(err, errUnprocessable):
 		i.abandon("server " + server.ServerID + " reported that it cannot process the item")
 	case i.failures >= maxAttempts:
@@ -209,7 +211,10 @@
 		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
 		ResumeAfter: i.lastEventID, ResponseHeaderTimeout: firstEventTimeout, StallTimeout: stallTimeout, Repeatable: true,
 	})
-	if err != nil {
+	switch {
+	case errors.Is(err, bergamotgrade.ErrUnsendable):
+		return placement.OutcomeAborted, err
+	case err != nil:
 		return placement.OutcomeFailed, err
 	}
 	defer answer.Body.Close()
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -223,6 +223,10 @@
 // handle processes the result of one exchange and releases the slot.
 func (run *requestRun) handle(ctx context.Context, slot *Slot, answer *bergamotgrade.Answer, err error) (done bool, _ error) {
 	server := slot.Server()
+	if errors.Is(err, bergamotgrade.ErrUnsendable) {
+		slot.Release(placement.OutcomeAborted)
+		return true, bergamotgrade.NewError(bergamotgrade.KindInvalidRequest, "the request cannot be sent to a server", "send a path and headers that HTTP allows").WithCause(err)
+	}
 	if err != nil {
 		var dispatch *bergamotgrade.DispatchError
 		if errors.As(err, &dispatch) && !dispatch.MaybeRan() {
