--- a/entry/node.go
+++ b/entry/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -288,6 +289,10 @@
 		}
 		records[record.ServerID] = record
 	}
+	maps.DeleteFunc(n.invalidServers, func(key string, _ int64) bool {
+		_, ok := entries[key]
+		return !ok
+	})
 	before := n.servers
 	n.servers = records
 	n.mu.Unlock()
