Own interface: an item's path arrives as sent, and load reports have connections of their own

A batch line whose url holds a space, a control character or a # reached the service with another path, or failed at each server in turn as if the server were at fault; a second object on the line was dropped without a word. Such lines are errors of the input file now. Load probes shared kept connections with requests; their answers bear no id, so an answer sent again could pass for a load report.

--- a/backend/client.go
+++ b/backend/client.go
@@ -47,6 +47,9 @@
 	// unpooled opens a new connection for each request. net/http silently repeats some
 	// requests whose reused connection fails; a new connection rules this out.
 	unpooled *http.Transport
+	// probes reuses the connections of load probes. Their answers bear no id, so an answer to
+	// another request that a server sends again could pass for one.
+	probes *http.Transport
 }
 
 var _ bergamotgrade.Backend = (*Client)(nil)
@@ -65,6 +68,7 @@
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 10 * time.Second}
 	transports := &serverTransports{
 		pooled:   &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true},
+		probes:   &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true},
 		unpooled: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
 	}
 	c.transports[address] = transports
@@ -189,11 +193,12 @@
 // once over a new connection before it counts as a failure of the server.
 func (c *Client) Load(ctx context.Context, server bergamotgrade.BackendServer) (bergamotgrade.LoadReport, error) {
 	transports := c.transportsFor(server.Address)
-	report, err := c.probe(ctx, transports.pooled, server)
+	report, err := c.probe(ctx, transports.probes, server)
 	if err == nil {
 		return report, nil
 	}
 	transports.pooled.CloseIdleConnections()
+	transports.probes.CloseIdleConnections()
 	return c.probe(ctx, transports.unpooled, server)
 }
 
--- a/batch/item.go
+++ b/batch/item.go
@@ -55,8 +55,7 @@
 // DecodeItem decodes and validates one line of an input file.
 func DecodeItem(line []byte) (Item, error) {
 	var item Item
-	decoder := json.NewDecoder(bytes.NewReader(line))
-	if err := decoder.Decode(&item); err != nil {
+	if err := json.Unmarshal(line, &item); err != nil {
 		return item, fmt.Errorf("no JSON object with custom_id, method, url and body: %w", err)
 	}
 	switch {
@@ -64,12 +63,18 @@
 		return item, fmt.Errorf("custom_id is missing")
 	case item.Method == "":
 		return item, fmt.Errorf("method is missing")
+	case strings.ContainsFunc(item.URL, endsPath):
+		return item, fmt.Errorf("url %q holds a space, a control character or a #", item.URL)
 	case !item.IsCompletion() && !strings.HasPrefix(item.URL, "/v1/services/"):
 		return item, fmt.Errorf("url %q is neither a completion path nor below /v1/services/", item.URL)
 	}
 	return item, nil
 }
 
+// endsPath reports whether a path ends before the character in a request line or a URL, so that
+// the server would get another path.
+func endsPath(r rune) bool { return r <= ' ' || r == 0x7f || r == '#' }
+
 // splitLines returns the non-empty lines of a segment.
 func splitLines(data []byte) [][]byte {
 	var lines [][]byte
