--- a/jobs/items_test.go
+++ b/jobs/items_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"github.com/bergamotgrade/bergamotgrade/relay"
 )
 
 // TestItemOutcomes runs an item that succeeds, one whose answer is truncated and
@@ -115,3 +117,33 @@
 	defer f.engine.mu.Unlock()
 	qt.Assert(t, f.engine.runs["split"], qt.Equals, 1)
 }
+
+// TestOnlyTheNextEventsGoOnWithAnItem guards against an item that is listed as done with text of an
+// error in it, or with half of its output, because the server that took it up was in trouble.
+func TestOnlyTheNextEventsGoOnWithAnItem(t *testing.T) {
+	f := newFleet()
+	f.engine.secondBodies = map[string]string{
+		"nothing": "", "comments": ": one\n\n", "text": "overloaded\n\n", "json": "{\"error\":1}\n\n", "field": "error: overloaded\n\n",
+		"head": "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "no id": "data: overloaded\n\n", "event": "event: error\n\n",
+		"first": "id: 1\ndata: x\n\n", "far": "id: 4\ndata: x\n\n", "no number": "id: x\ndata: x\n\n", "two ids": "id: 3\nid: 4\ndata: x\n\n",
+	}
+	vm := f.start(t, "vm1")
+	for _, ids := range [][]string{{"nothing", "comments", "text", "json", "field", "head"}, {"no id", "event", "first", "far", "no number", "two ids"}} {
+		job := ids[0]
+		qt.Assert(t, vm.submit(job, ids...), qt.IsNil)
+		for id, result := range byItem(vm.waitForResults(t, job, len(ids), 10*time.Second)) {
+			qt.Check(t, result, qt.Equals, Result{ItemID: id, Text: fmt.Sprintf("%[1]s-1\n%[1]s-2\n%[1]s-3\n%[1]s-4", id)})
+		}
+	}
+}
+
+// TestItemWithoutEventIDsBeginsAgain guards against output that stands in a result twice: without ids
+// no server knows where to go on.
+func TestItemWithoutEventIDsBeginsAgain(t *testing.T) {
+	item := &ownedItem{job: &ownedJob{}, events: relay.NewSequence("")}
+	qt.Assert(t, item.events.Append(relay.Event{Raw: []byte("data: a\n\n")}), qt.IsNil)
+	item.text = []string{"a"}
+	item.beginAttempt()
+	qt.Assert(t, item.text, qt.HasLen, 0)
+	qt.Assert(t, item.events.CanResume(), qt.IsTrue)
+}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -79,6 +79,9 @@
 	runTimeStep time.Duration
 	// failingServers holds the ids of the servers that fail all requests.
 	failingServers map[string]bool
+	// secondBodies holds what the second answer of an item has as its body, by item; its first
+	// answer is truncated.
+	secondBodies map[string]string
 	// unsendable is the id of an item that cannot be written as one HTTP request.
 	unsendable string
 }
@@ -101,7 +104,8 @@
 	answer := &bergamotgrade.Answer{Status: http.StatusOK, Header: http.Header{}, Signed: true}
 	from, _ := strconv.Atoi(attempt.ResumeAfter)
 	var text strings.Builder
-	breaks := run == 1 && (strings.HasPrefix(attempt.RequestID, "breaks") || strings.HasPrefix(attempt.RequestID, "ends"))
+	secondBody, hasSecond := e.secondBodies[attempt.RequestID]
+	breaks := run == 1 && (hasSecond || strings.HasPrefix(attempt.RequestID, "breaks") || strings.HasPrefix(attempt.RequestID, "ends"))
 	answer.EndsWithConnection = run == 2 && strings.HasPrefix(attempt.RequestID, "ends")
 	for i := from + 1; i <= 4 && !answer.EndsWithConnection; i++ {
 		if breaks && i == 3 {
@@ -111,6 +115,8 @@
 	}
 	var body io.Reader = strings.NewReader(text.String())
 	switch {
+	case hasSecond && run == 2:
+		body = strings.NewReader(secondBody)
 	case strings.HasPrefix(attempt.RequestID, "never"):
 		answer.Status = http.StatusUnprocessableEntity
 	case strings.HasPrefix(attempt.RequestID, "fails"), e.failingServers[server.ServerID]:
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -6,7 +6,6 @@
 	"io"
 	"maps"
 	"net/http"
-	"strconv"
 	"strings"
 	"time"
 
@@ -31,11 +30,11 @@
 	running   bool
 	notBefore time.Time
 
-	// text holds the data of the events received in all attempts so far, and
-	// lastEventID the id of the last of them.
-	text        []string
-	textBytes   int
-	lastEventID string
+	// text holds the data of the events received in all attempts so far, and events their
+	// sequence.
+	text      []string
+	textBytes int
+	events    *relay.Sequence
 	// origin is where the first of these events came from; zero without events. The job's
 	// lock guards it.
 	origin bergamotgrade.StreamOrigin
@@ -67,14 +66,14 @@
 		return servers
 	}
 	i.job.runner.log.Info("item starts anew; no server of the software that began its output is left", "job", i.job.id, "item", i.item.ItemID,
-		"version", i.origin.SoftwareVersion, "service", i.origin.Service, "last_event_id", i.lastEventID)
+		"version", i.origin.SoftwareVersion, "service", i.origin.Service, "last_event_id", i.events.Last())
 	i.clearText()
 	return bergamotgrade.ServerSet{Service: service}
 }
 
 // clearText drops the output received so far. The caller holds the job's lock.
 func (i *ownedItem) clearText() {
-	i.text, i.textBytes, i.lastEventID, i.origin = nil, 0, "", bergamotgrade.StreamOrigin{}
+	i.text, i.textBytes, i.events, i.origin = nil, 0, relay.NewSequence(""), bergamotgrade.StreamOrigin{}
 }
 
 // acquire returns a slot for the item, or nil when none is free or the item may not
@@ -124,7 +123,7 @@
 	runner := i.job.runner
 	server := slot.Server()
 	startedAt := runner.clock.Now()
-	eventBefore, failuresBefore := i.lastEventID, i.failures
+	eventBefore, failuresBefore := i.events.Last(), i.failures
 	outcome, err := i.attempt(slot.ctx, server)
 	preempted := errors.Is(context.Cause(slot.ctx), relay.ErrPreempted)
 	if slot.ctx.Err() != nil && err != nil {
@@ -133,7 +132,7 @@
 	slot.Release(outcome)
 	result := resultUnknown
 	switch {
-	case err == nil || i.lastEventID != eventBefore:
+	case err == nil || i.events.Last() != eventBefore:
 		result = resultProgress
 	case outcome == placement.OutcomeFailed && bergamotgrade.IsConnectionLoss(err):
 		result = resultServerEnded
@@ -163,7 +162,7 @@
 	default:
 		runner.observer.Count("item_attempts_failed")
 		runner.log.Info("item attempt failed; retrying the item", "job", i.job.id, "item", i.item.ItemID, "server", server.ServerID,
-			"last_event_id", i.lastEventID, "failures", i.failures, "prompt_parts", i.item.PromptParts, "cause", err.Error())
+			"last_event_id", i.events.Last(), "failures", i.failures, "prompt_parts", i.item.PromptParts, "cause", err.Error())
 		i.avoid = maps.Clone(i.failedServers)
 		i.avoid[server.ServerID] = true
 		delay := itemRetryDelay
@@ -200,16 +199,27 @@
 	i.job.finish(i, Result{ItemID: i.item.ItemID, State: ResultAbandoned})
 }
 
+// beginAttempt drops output that no server can go on with.
+func (i *ownedItem) beginAttempt() {
+	if i.events.CanResume() {
+		return
+	}
+	i.job.mu.Lock()
+	defer i.job.mu.Unlock()
+	i.clearText()
+}
+
 // errUnprocessable is returned for a signed answer 422: no server can process the item.
 var errUnprocessable = errors.New("server cannot process the item")
 
 // attempt sends the item to the server, which resumes after lastEventID.
 func (i *ownedItem) attempt(ctx context.Context, server bergamotgrade.ServerRecord) (placement.Outcome, error) {
 	job := i.job
+	i.beginAttempt()
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
 		RequestID: i.item.ItemID, Method: http.MethodPost, Target: i.item.Path, Host: job.spec.Host,
 		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
-		ResumeAfter: i.lastEventID, ResponseHeaderTimeout: firstEventTimeout, StallTimeout: stallTimeout, Repeatable: true,
+		ResumeAfter: i.events.Last(), ResponseHeaderTimeout: firstEventTimeout, StallTimeout: stallTimeout, Repeatable: true,
 	})
 	switch {
 	case errors.Is(err, bergamotgrade.ErrUnsendable):
@@ -236,11 +246,18 @@
 // readEvents appends the events of one answer of the server to text.
 func (i *ownedItem) readEvents(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) (placement.Outcome, error) {
 	events := relay.NewEventReader(answer.Body)
-	for received := 0; ; received++ {
+	begun := i.events.Last()
+	for {
 		event, err := events.Next()
 		switch {
-		case err == io.EOF && received == 0 && answer.EndsWithConnection:
+		case err == io.EOF && i.events.Last() == begun && answer.EndsWithConnection && i.events.CanResume():
 			return placement.OutcomeFailed, io.ErrUnexpectedEOF // the server ended before its first event
+		case err == io.EOF && begun != "" && i.events.Last() == begun:
+			// Whether the output was complete without its end is not known; it is made anew.
+			i.job.mu.Lock()
+			i.clearText()
+			i.job.mu.Unlock()
+			return placement.OutcomeFailed, errors.Newf("nothing follows event %q", begun)
 		case err == io.EOF && len(i.text) > 0:
 			if !answer.EndsWithConnection {
 				i.job.runner.guard.Served(i.item.traits())
@@ -251,13 +268,10 @@
 		case err != nil:
 			return placement.OutcomeFailed, err
 		}
-		if !i.isNext(event) {
-			return placement.OutcomeFailed, errors.Newf("event %q does not follow event %q", event.ID, i.lastEventID)
+		if err := i.events.Append(event); err != nil {
+			return placement.OutcomeFailed, err
 		}
 		i.setOrigin(server)
-		if event.ID != "" {
-			i.lastEventID = event.ID
-		}
 		if event.HasData() {
 			answer.MadeProgress()
 			i.text = append(i.text, event.Data())
@@ -280,14 +294,3 @@
 		i.origin = bergamotgrade.OriginOf(server)
 	}
 }
-
-// isNext reports whether the event directly follows lastEventID. Events without an
-// id or with ids that are not numbers are accepted.
-func (i *ownedItem) isNext(event relay.Event) bool {
-	if event.ID == "" || i.lastEventID == "" {
-		return true
-	}
-	last, errLast := strconv.ParseInt(i.lastEventID, 10, 64)
-	next, errNext := strconv.ParseInt(event.ID, 10, 64)
-	return errLast != nil || errNext != nil || next == last+1
-}
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/relay"
 )
 
 // ownedJob is a job that this process owns and runs.
@@ -152,7 +153,7 @@
 	defer j.mu.Unlock()
 	j.ctx = ctx
 	for index, item := range items {
-		owned := &ownedItem{job: j, item: item, index: index, hash: xxhash.Sum64String(item.ItemID), failedServers: map[string]bool{}}
+		owned := &ownedItem{job: j, item: item, index: index, hash: xxhash.Sum64String(item.ItemID), failedServers: map[string]bool{}, events: relay.NewSequence("")}
 		owned.finished = storedIDs[item.ItemID]
 		j.items = append(j.items, owned)
 	}
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -20,10 +20,8 @@
 	maxBufferedBytes = 64 << 10
 	// maxEventBytes bounds the size of one event.
 	maxEventBytes = 1 << 20
-	// maxFieldNameBytes bounds the name of a field, and maxEmptyLines the empty lines between
-	// two events.
-	maxFieldNameBytes = 128
-	maxEmptyLines     = 16
+	// maxEmptyLines bounds the empty lines between two events.
+	maxEmptyLines = 16
 	// minAttemptTime is the time before the deadline below which no further attempt
 	// starts.
 	minAttemptTime = 20 * time.Millisecond
--- a/relay/events.go
+++ b/relay/events.go
@@ -30,7 +30,12 @@
 
 // HasData reports whether the event has a data field.
 func (e Event) HasData() bool {
-	return bytes.HasPrefix(e.Raw, []byte("data")) || bytes.Contains(e.Raw, []byte("\ndata"))
+	for line := range strings.SplitSeq(string(e.Raw), "\n") {
+		if _, ok := field(strings.TrimSuffix(line, "\r"), "data"); ok {
+			return true
+		}
+	}
+	return false
 }
 
 // field returns the value of the line if its field has this name.
@@ -49,15 +54,25 @@
 // errNoEvent is returned for bytes that are no event of an event stream.
 var errNoEvent = errors.New("body holds bytes that are no event")
 
-// hasField reports whether any line of the event is a field or a comment.
-func (e Event) hasField() bool {
+// isValid reports whether the lines are an event: they hold its data or its id, or nothing but
+// comments and fields that say nothing of the stream's content. The head of an answer and the text
+// of an error are none, although some of their lines look like fields.
+func (e Event) isValid() bool {
+	ids, onlyKnown := 0, true
 	for line := range strings.SplitSeq(string(e.Raw), "\n") {
-		name, _, found := strings.Cut(strings.TrimSuffix(line, "\r"), ":")
-		if found && len(name) <= maxFieldNameBytes && !strings.ContainsAny(name, " \t\x00") || name == "data" || name == "id" {
-			return true
+		line = strings.TrimSuffix(line, "\r")
+		name, _, isField := strings.Cut(line, ":")
+		switch {
+		case line == "":
+		case name == "id":
+			ids++
+		case name == "data", name == "event", name == "retry":
+		case isField && name == "":
+		default:
+			onlyKnown = false
 		}
 	}
-	return false
+	return ids <= 1 && (ids == 1 || e.HasData() || onlyKnown)
 }
 
 // EventReader splits a text/event-stream body into complete events.
@@ -90,7 +105,7 @@
 				}
 				continue // an empty line more than needed
 			}
-			if !event.hasField() {
+			if !event.isValid() {
 				return Event{}, errNoEvent
 			}
 			r.emptyLines = 0
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -5,7 +5,7 @@
 	"io"
 	"log/slog"
 	"net/http"
-	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -111,10 +111,15 @@
 	resumedAfter string
 	// origin is where the stream began; zero before its first event.
 	origin bergamotgrade.StreamOrigin
-	// headSent is set once the response's head has been sent to the caller.
-	headSent bool
-	// lastEventID is the id of the last event that was sent to the caller.
-	lastEventID string
+	// headSent is set once the response's head has been sent to the caller, mediaType is what it
+	// says of the body.
+	headSent  bool
+	mediaType string
+	// events are those that were sent to the caller.
+	events *Sequence
+	// bodyBegun is set once a part of a body that is no event stream was sent to the caller; no
+	// other answer can go on with it.
+	bodyBegun bool
 	// callerErr is the result of the last write to the caller.
 	callerErr error
 	arrivedAt time.Time
@@ -126,7 +131,7 @@
 // Serve proxies the request and writes the response to out. It returns a
 // bergamotgrade.Error if nothing has been sent to the caller, or ErrTruncated.
 func (r *Relay) Serve(ctx context.Context, req *Request, out Responder) error {
-	run := &requestRun{relay: r, req: req, out: out, avoid: map[string]bool{}, lastEventID: req.ResumeAfter, arrivedAt: r.clock.Now()}
+	run := &requestRun{relay: r, req: req, out: out, avoid: map[string]bool{}, events: NewSequence(req.ResumeAfter), arrivedAt: r.clock.Now()}
 	ctx, cancel := context.WithDeadlineCause(ctx, req.Deadline, context.DeadlineExceeded)
 	defer cancel()
 	if err := run.findOrigin(ctx); err != nil {
@@ -193,14 +198,14 @@
 	}
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
-	run.sentAt, run.serverID, run.resumedAfter = sentAt, server.ServerID, run.lastEventID
+	run.sentAt, run.serverID, run.resumedAfter = sentAt, server.ServerID, run.events.Last()
 	if req.Streams && req.Repeatable && run.origin.IsZero() {
 		run.relay.origins.Began(req.RequestID, bergamotgrade.OriginOf(server), run.runs+run.rejections)
 	}
 	attempt := bergamotgrade.Attempt{
 		RequestID: req.RequestID, Method: req.Method, Target: req.Target, Host: req.Host,
 		Header: req.Header, Body: req.Body, Team: req.Team,
-		ResumeAfter: run.lastEventID, Deadline: req.Deadline, Repeatable: req.Repeatable,
+		ResumeAfter: run.events.Last(), Deadline: req.Deadline, Repeatable: req.Repeatable,
 	}
 	if req.Streams && req.Repeatable {
 		attempt.StallTimeout = max(minStall, stallFactor*req.GapObjective)
@@ -241,7 +246,7 @@
 	}
 	run.runs++
 	switch {
-	case answer.Status >= 200 && answer.Status < 300 && answer.Signed:
+	case answer.Status >= 200 && answer.Status < 300 && answer.Signed && (!run.headSent || answer.Status == http.StatusOK):
 		err = run.forward(server, answer)
 	case answer.Status >= http.StatusInternalServerError && run.req.Repeatable && run.runs < run.req.MaxAttempts,
 		!answer.Signed, run.headSent,
@@ -271,6 +276,9 @@
 	return run.handleFailure(ctx, slot, err)
 }
 
+// canGoOn reports whether another answer can bring what the caller still lacks.
+func (run *requestRun) canGoOn() bool { return !run.bodyBegun && run.events.CanResume() }
+
 // handleNotRun ends an attempt that no server has run. Another attempt follows until
 // maxRejections attempts were rejected or too little time is left.
 func (run *requestRun) handleNotRun(ctx context.Context, slot *Slot, outcome placement.Outcome, cause error) (done bool, _ error) {
@@ -298,15 +306,15 @@
 	slot.Release(placement.OutcomeFailed)
 	run.avoid[slot.Server().ServerID] = true
 	if bergamotgrade.IsConnectionLoss(cause) {
-		if run.lastEventID == run.resumedAfter {
+		if run.events.Last() == run.resumedAfter {
 			run.lostConnections++
 		}
 		run.relay.guard.ConnectionLost(slot.Server(), run.req.traits(), run.sentAt)
 	}
-	again := run.req.Repeatable && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
+	again := run.req.Repeatable && run.canGoOn() && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
 	run.relay.observer.Count("attempts_failed")
 	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "version", slot.Server().SoftwareVersion, "cause", cause.Error(),
-		"attempt", run.runs, "resumes", run.req.Resumes, "last_event_id", run.lastEventID, "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
+		"attempt", run.runs, "resumes", run.req.Resumes, "last_event_id", run.events.Last(), "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
 	if again {
 		return false, nil
 	}
@@ -332,24 +340,32 @@
 
 // forwardEvents sends each event to the caller as soon as it is complete.
 func (run *requestRun) forwardEvents(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) error {
+	resumed := run.headSent
+	if resumed && mediaType(answer.Header) != run.mediaType {
+		return errors.Newf("content type %q does not go on with a stream of type %q", mediaType(answer.Header), run.mediaType)
+	}
 	events := NewEventReader(answer.Body)
-	resumedAfter := run.lastEventID
 	for received := 0; ; received++ {
 		event, err := events.Next()
 		if err == io.EOF && received == 0 && answer.EndsWithConnection {
 			return io.ErrUnexpectedEOF // the server ended before its first event
 		}
+		if err == io.EOF && received == 0 && resumed {
+			// Whether the stream was complete without its end is not known.
+			return errors.Newf("nothing follows event %q", run.events.Last())
+		}
 		if err == io.EOF {
 			return run.sendHead(answer, -1)
 		}
 		if err != nil {
 			return err
 		}
-		if resumedAfter != "" {
-			if !follows(event.ID, resumedAfter) {
-				return errors.Newf("resumed stream starts with event %q, which does not follow event %q", event.ID, resumedAfter)
-			}
-			resumedAfter = ""
+		if err := run.events.Append(event); err != nil {
+			return err
+		}
+		if resumed && received == 0 && event.ID == "" {
+			received-- // no part of the stream
+			continue
 		}
 		if run.origin.IsZero() {
 			run.origin = bergamotgrade.OriginOf(server)
@@ -360,23 +376,12 @@
 		if err := run.send(event.Raw); err != nil {
 			return err
 		}
-		if event.ID != "" {
-			run.lastEventID = event.ID
-		}
 		if event.HasData() {
 			answer.MadeProgress()
 		}
 	}
 }
 
-// follows reports whether id is the successor of previous. It is true if either id is
-// not a number, because such ids have no known order.
-func follows(id, previous string) bool {
-	next, err := strconv.ParseInt(id, 10, 64)
-	last, errLast := strconv.ParseInt(previous, 10, 64)
-	return err != nil || errLast != nil || next == last+1
-}
-
 // forwardBody sends a response that is not an event stream. A body of at most
 // maxBufferedBytes is sent only once it is complete.
 func (run *requestRun) forwardBody(answer *bergamotgrade.Answer) error {
@@ -385,7 +390,7 @@
 	for {
 		n, err := answer.Body.Read(chunk)
 		switch {
-		case run.headSent:
+		case run.bodyBegun:
 			if writeErr := run.send(chunk[:n]); writeErr != nil {
 				return writeErr
 			}
@@ -395,7 +400,8 @@
 		if err != nil && err != io.EOF {
 			return err
 		}
-		if !run.headSent && (err == io.EOF || len(buffered) > maxBufferedBytes) {
+		if !run.bodyBegun && (err == io.EOF || len(buffered) > maxBufferedBytes) {
+			run.bodyBegun = true
 			if headErr := run.sendHead(answer, answer.Length); headErr != nil {
 				return headErr
 			}
@@ -409,12 +415,18 @@
 	}
 }
 
+// mediaType returns the type in the Content-Type header, without its parameters.
+func mediaType(header http.Header) string {
+	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // sendHead sends status and headers unless an earlier attempt has sent them.
 func (run *requestRun) sendHead(answer *bergamotgrade.Answer, length int64) error {
 	if run.headSent {
 		return nil
 	}
-	run.headSent = true
+	run.headSent, run.mediaType = true, mediaType(answer.Header)
 	now := run.relay.clock.Now()
 	run.relay.observer.Observe("first_event", now.Sub(run.arrivedAt))
 	if now.After(run.req.LatestStart) {
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -38,6 +38,8 @@
 	truncated bool
 	unsigned  bool
 	notRun    bool
+	// contentType is the Content-Type header; empty sends none.
+	contentType string
 	// blocked delays the result until the context ends.
 	blocked bool
 }
@@ -59,7 +61,11 @@
 	if current.truncated {
 		body = io.MultiReader(body, failingReader{})
 	}
-	return &bergamotgrade.Answer{Status: current.status, Header: http.Header{}, Length: -1, Body: io.NopCloser(body), NotRun: current.notRun, Signed: !current.unsigned}, nil
+	header := http.Header{}
+	if current.contentType != "" {
+		header.Set("Content-Type", current.contentType)
+	}
+	return &bergamotgrade.Answer{Status: current.status, Header: header, Length: -1, Body: io.NopCloser(body), NotRun: current.notRun, Signed: !current.unsigned}, nil
 }
 
 type failingReader struct{}
