A server that says it leaves gets nothing new (DRAIN, Server-Leaving)

Servers that leave say so in the header Server-Leaving of all their answers; nothing read it, so a VM went on to send them requests until their registry entry changed.

Change: any answer with the header marks the process of the server (id and start) at this VM, whatever its status. From then on it gets no first try, retry, resume or item, no request that waited in a queue and none that already had its slot. The mark is kept apart from the registry: no entry that still says ready, no copy of another VM and no return of the store takes it away, and a new process under the id has none. It is forgotten ten minutes after its process is no longer registered. The VM that heard it tells the others for two seconds in its statuses, about 25 bytes a server, and hubs add them to their digests. Requests that wait for a service without any server left are rejected at once, with Retry-After; items stay owed.

--- a/attempt.go
+++ b/attempt.go
@@ -39,6 +39,10 @@
 // request; it was not sent, and no server can run it.
 var ErrUnsendable = errors.New("the request cannot be written as one HTTP request")
 
+// ErrServerLeaving is wrapped by the error of an attempt that was not sent because its server has
+// said that it leaves.
+var ErrServerLeaving = errors.New("the server leaves")
+
 // RateLimit is the limit that a server names in an answer: the requests per second that it
 // takes from all VMs together.
 type RateLimit struct {
@@ -66,6 +70,8 @@
 	EndsWithConnection bool
 	// NotRun is set if the server states that it has not run the request.
 	NotRun bool
+	// ServerLeaving is set if the server states that it leaves.
+	ServerLeaving bool
 	// RateLimit is the limit that the response names.
 	RateLimit RateLimit
 	// Signed is set if the response carries the server's signature header.
--- a/entry/node.go
+++ b/entry/node.go
@@ -153,6 +153,7 @@
 		Admitted: n.view.admittedCounts(),
 		Suspects: n.scheduler.Suspects(),
 		Copies:   n.copyStates(),
+		Leaving:  n.leavingServers(),
 	}
 	for _, heard := range n.scheduler.Rates() {
 		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
@@ -164,6 +165,14 @@
 	return status
 }
 
+// leavingServers returns the processes of servers that have recently told this VM that they leave,
+// in order, so that an unchanged status stays the same.
+func (n *Node) leavingServers() []bergamotgrade.ServerProcess {
+	leaving := n.scheduler.LeavingServers()
+	slices.SortFunc(leaving, func(a, b bergamotgrade.ServerProcess) int { return strings.Compare(a.ServerID, b.ServerID) })
+	return leaving
+}
+
 // handleReport applies the report about the VMs of a data centre.
 func (n *Node) handleReport(report gossip.Report) {
 	if len(report.Limits) > 0 {
@@ -180,6 +189,9 @@
 		})
 	}
 	n.scheduler.MergeRates(rates, n.view.requestingVMs)
+	for _, process := range n.scheduler.MarkLeaving(report.Leaving, false) {
+		n.log.Info("another VM says that a server leaves; sending it nothing new", "server", process.ServerID, "started_at_ms", process.StartedAtMs, "hub", report.HubID)
+	}
 	for _, copied := range report.Copies {
 		if mirror, ok := n.mirrors[copied.Prefix]; ok && mirror.IsBehind(copied.ChangedAt, copied.ListedAt) {
 			mirror.Announced()
--- a/fleet.go
+++ b/fleet.go
@@ -197,6 +197,22 @@
 	StartedAt time.Time
 }
 
+// ServerProcess is one process of a backend server, which may start again under its id.
+type ServerProcess struct {
+	ServerID string
+	// StartedAtMs is the start of the process in Unix milliseconds; zero if unknown.
+	StartedAtMs int64
+}
+
+// ProcessOf returns the process that published the record.
+func ProcessOf(record ServerRecord) ServerProcess {
+	process := ServerProcess{ServerID: record.ServerID}
+	if !record.StartedAt.IsZero() {
+		process.StartedAtMs = record.StartedAt.UnixMilli()
+	}
+	return process
+}
+
 // NodeSettings are the settings of one VM.
 type NodeSettings struct {
 	VMID       string
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -76,7 +76,8 @@
 	}
 	joined = !known || status.Primary && !record.status.Primary || record.status.VM.Incarnation != status.VM.Incarnation || now.Sub(record.receivedAt) > statusTimeout
 	changed = joined || record.status.VM != status.VM ||
-		!sameCopies(record.status.Copies, status.Copies) || !sameRates(record.status.Rates, status.Rates) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects)
+		!sameCopies(record.status.Copies, status.Copies) || !sameRates(record.status.Rates, status.Rates) || !slices.Equal(record.status.Load, status.Load) || !slices.Equal(record.status.Suspects, status.Suspects) ||
+		!slices.Equal(record.status.Leaving, status.Leaving)
 	if known && record.status.VM.Incarnation < status.VM.Incarnation && record.admitted != nil {
 		record.admitted = map[string]uint64{}
 	}
@@ -197,6 +198,11 @@
 		for _, serverID := range record.status.Suspects {
 			suspects[serverID]++
 		}
+		for _, process := range record.status.Leaving {
+			if !slices.Contains(digest.Leaving, process) {
+				digest.Leaving = append(digest.Leaving, process)
+			}
+		}
 	}
 	digest.Load = slices.Collect(maps.Values(load))
 	for serverID, count := range suspects {
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -60,6 +60,8 @@
 	Copies []CopyState
 	// Rates holds what the VM has recently heard of the limits that servers name.
 	Rates []ServerRate
+	// Leaving holds the processes of servers that have recently told the VM that they leave.
+	Leaving []bergamotgrade.ServerProcess
 }
 
 // Streams holds records of streams that the receiver keeps for other VMs.
@@ -111,6 +113,8 @@
 	// Rates holds the newest that the VMs have heard of the limits that servers name. Most
 	// digests omit them unless they have changed recently.
 	Rates []ServerRate
+	// Leaving holds the processes of servers that have recently told VMs that they leave.
+	Leaving []bergamotgrade.ServerProcess
 }
 
 // ServerRate is what a VM has heard of the limit of a backend server.
--- a/gossip/tracker.go
+++ b/gossip/tracker.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bergamotgrade/bergamotgrade"
 )
 
 // Report is the state of one data centre as of a digest, without this VM.
@@ -33,6 +35,8 @@
 	// Rates holds what the VMs have heard of the limits that servers name; most reports omit
 	// it.
 	Rates []ServerRate
+	// Leaving holds the processes of servers that have recently told VMs that they leave.
+	Leaving []bergamotgrade.ServerProcess
 }
 
 // tracker turns the digests of all hubs into reports. It does no I/O; the current time is
@@ -105,7 +109,7 @@
 	tracked.receivedAt = now
 	report = Report{
 		DataCentre: digest.DataCentre, HubID: digest.HubID, HubIncarnation: digest.Incarnation,
-		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted, Copies: digest.Copies, Rates: digest.Rates,
+		Suspects: map[string]int{}, Limits: map[string]int{}, Admitted: map[string]int64{}, AllAdmitted: digest.AllAdmitted, Copies: digest.Copies, Rates: digest.Rates, Leaving: digest.Leaving,
 	}
 	for i, state := range tracked.roster {
 		if state.VMID == t.self && state.Incarnation == t.incarnation {
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -22,6 +22,12 @@
 	// runTimeWeight is the weight of the latest run in the moving average of the run
 	// time.
 	runTimeWeight = 0.05
+	// leavingReportTime is how long a VM tells the others of a server that leaves; each of them
+	// hears several reports in that time.
+	leavingReportTime = 2 * time.Second
+	// leavingRetention is how long a mark outlives the registration of its process, which may
+	// come back after an outage of the store.
+	leavingRetention = 10 * time.Minute
 	// rateRetention is how long a limit holds after the last answer that named it.
 	rateRetention = 10 * time.Second
 	// rateBurst times the limit of a server is the number of requests that callers' VMs may
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -84,13 +84,15 @@
 	// number of servers of whose limits anything is known.
 	callers, runners []string
 	rated            int
+	// leaving holds the processes of servers that have said that they leave.
+	leaving map[bergamotgrade.ServerProcess]leavingMark
 	// limitedShare holds the fraction of the servers of a service that name a limit.
 	limitedShare map[string]float64
 }
 
 // NewSelector returns a selector without servers for the VM.
 func NewSelector(vmID, dataCentre string) *Selector {
-	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}}
+	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{}}
 }
 
 // SetServers replaces the server records at the time now. A server without a record gets no new requests
@@ -112,6 +114,7 @@
 		}
 		server.record = record
 	}
+	sel.applyMarks(now, records)
 	sel.serverIDs = sel.serverIDs[:0]
 	for id, server := range sel.servers {
 		if _, ok := records[id]; !ok {
@@ -189,6 +192,7 @@
 		}
 	}
 	sel.expireRates(now)
+	sel.expireMarks(now)
 }
 
 // sumPeers recomputes the peer counts of all servers.
--- a/relay/exchanger.go
+++ b/relay/exchanger.go
@@ -4,24 +4,32 @@
 	"context"
 	"log/slog"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
-// observingExchanger reports the limits that answers name to the scheduler.
+// observingExchanger reports to the scheduler what answers say of their servers.
 type observingExchanger struct {
 	bergamotgrade.Exchanger
 	scheduler *Scheduler
 	log       *slog.Logger
 }
 
-// NewObservingExchanger returns an exchanger that exchanges through the given one and reports
-// the limits that answers name to the scheduler.
+// NewObservingExchanger returns an exchanger that exchanges through the given one and reports to
+// the scheduler what answers say of their servers: the limits that they name, and that they leave.
+// It sends nothing to a server that leaves.
 func NewObservingExchanger(exchanger bergamotgrade.Exchanger, scheduler *Scheduler, log *slog.Logger) bergamotgrade.Exchanger {
 	return &observingExchanger{Exchanger: exchanger, scheduler: scheduler, log: log}
 }
 
 // Exchange implements bergamotgrade.Exchanger.
 func (e *observingExchanger) Exchange(ctx context.Context, server bergamotgrade.ServerRecord, attempt bergamotgrade.Attempt) (*bergamotgrade.Answer, error) {
+	process := bergamotgrade.ProcessOf(server)
+	if e.scheduler.IsLeaving(process) {
+		// It has said so since the request got its slot.
+		return nil, bergamotgrade.NotSent(errors.Wrapf(bergamotgrade.ErrServerLeaving, "server %s", server.ServerID))
+	}
 	answer, err := e.Exchanger.Exchange(ctx, server, attempt)
 	if err != nil {
 		return nil, err
@@ -30,5 +38,8 @@
 		e.log.Info("server names another limit on requests", "request_id", attempt.RequestID, "server", server.ServerID, "named", answer.RateLimit.Named,
 			"per_second", answer.RateLimit.PerSecond, "former_per_second", former.PerSecond)
 	}
+	if answer.ServerLeaving && len(e.scheduler.MarkLeaving([]bergamotgrade.ServerProcess{process}, true)) > 0 {
+		e.log.Info("server says that it leaves; sending it nothing new", "request_id", attempt.RequestID, "server", server.ServerID, "started_at", server.StartedAt, "status", answer.Status)
+	}
 	return answer, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -235,7 +235,11 @@
 	if err != nil {
 		var dispatch *bergamotgrade.DispatchError
 		if errors.As(err, &dispatch) && !dispatch.MaybeRan() {
-			return run.handleNotRun(ctx, slot, placement.OutcomeFailed, err)
+			outcome := placement.OutcomeFailed
+			if errors.Is(err, bergamotgrade.ErrServerLeaving) {
+				outcome = placement.OutcomeAborted
+			}
+			return run.handleNotRun(ctx, slot, outcome, err)
 		}
 		run.runs++
 		return run.handleFailure(ctx, slot, err)
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -164,6 +164,40 @@
 	return s.selector.Rates(s.clock.Now())
 }
 
+// MarkLeaving records that the processes of servers leave: nothing new goes there. heardHere is set
+// if they said so in answers to this VM. It returns those of which this VM did not know.
+func (s *Scheduler) MarkLeaving(processes []bergamotgrade.ServerProcess, heardHere bool) (marked []bergamotgrade.ServerProcess) {
+	s.mu.Lock()
+	now := s.clock.Now()
+	for _, process := range processes {
+		if s.selector.MarkLeaving(now, process, heardHere) {
+			marked = append(marked, process)
+		}
+	}
+	if len(marked) > 0 {
+		s.schedule()
+	}
+	s.mu.Unlock()
+	if len(marked) > 0 && heardHere {
+		s.onLoad()
+	}
+	return marked
+}
+
+// IsLeaving reports whether the process of the server has said that it leaves.
+func (s *Scheduler) IsLeaving(process bergamotgrade.ServerProcess) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.IsLeaving(process)
+}
+
+// LeavingServers returns the processes that this VM has recently heard to leave.
+func (s *Scheduler) LeavingServers() []bergamotgrade.ServerProcess {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.LeavingServers(s.clock.Now())
+}
+
 // HasServer reports whether any server of the set accepts new requests.
 func (s *Scheduler) HasServer(servers bergamotgrade.ServerSet) bool {
 	s.mu.Lock()
@@ -384,7 +418,7 @@
 	started := false
 	for _, servers := range s.sortedQueues() {
 		q := s.queues[servers]
-		isGone := servers.OneVersion && !s.selector.HasServer(servers)
+		isGone := q.Len() > 0 && !s.selector.HasServer(servers)
 		for {
 			item, expired := q.Peek(now)
 			for _, dropped := range expired {
