Quarantine: the ends of servers whose ids hold a slash are told apart

Ends of a/b and a/c counted as those of one server. The id is escaped; keys of ids without such characters stay as they were. TestEndsOfServersAreApart fails on the code before.

--- a/quarantine/record.go
+++ b/quarantine/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/url"
 	"strings"
 	"time"
 
@@ -109,9 +110,9 @@
 	revision int64
 }
 
-// serverStart names one process of a server.
+// serverStart names one process of a server. It is a part of keys, where a slash ends it.
 func serverStart(server bergamotgrade.ServerRecord) string {
-	return fmt.Sprintf("%s.%d", server.ServerID, server.StartedAt.UnixMilli())
+	return fmt.Sprintf("%s.%d", url.PathEscape(server.ServerID), server.StartedAt.UnixMilli())
 }
 
 func endKey(start, vmID string) string       { return endPrefix + start + "/" + vmID }
