--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -64,7 +64,7 @@
 		}
 		return vm.DecodeAndHandle(*params, func(call storeCall) any { return executeStoreCall(ctx, n.kv.Direct(), call) })
 	case methodResults:
-		return vm.DecodeAndHandle(*params, func(call resultsCall) any { return n.repository.Cached(call.JobID, call.From) })
+		return vm.DecodeAndHandle(*params, func(call resultsCall) any { return n.repository.CachedResults(call.JobID, call.From) })
 	case methodBucketLevels:
 		return vm.DecodeAndHandle(*params, func(struct{}) any { return n.view.bucketLevels() })
 	case methodStreamOrigin:
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -9,12 +9,19 @@
 	// maxCommitEntries is the store's limit on the sum of conditions, writes and
 	// deletions in a commit.
 	maxCommitEntries = 32
+	// maxKeyBytes is the store's limit on the length of a key.
+	maxKeyBytes = 200
+	// hashedIDPrefix begins the record ids that are hashes; no plain job id holds it.
+	hashedIDPrefix = "~"
+	// maxCreateRounds bounds the commits that store a new job while jobs of other teams come and
+	// go under its record ids.
+	maxCreateRounds = 3
 	// maxResultsPerCommit follows from maxCommitEntries: each result needs a condition
 	// and a write, and so does the job's head.
 	maxResultsPerCommit = maxCommitEntries/2 - 1
 	// maxBodyParts follows from maxCommitEntries: each part of a job's body needs a
-	// write, and the head needs a condition and a write.
-	maxBodyParts = maxCommitEntries - 2
+	// write, and the head needs a condition for each of two record ids and a write.
+	maxBodyParts = maxCommitEntries - 3
 	// submitTimeout bounds the attempts to store a new job; the caller tries another
 	// VM afterwards.
 	submitTimeout = 1200 * time.Millisecond
--- a/jobs/head_cache.go
+++ b/jobs/head_cache.go
@@ -30,7 +30,7 @@
 	newest := int64(0)
 	for key, entry := range entries {
 		newest = max(newest, entry.Revision)
-		id := jobIDOf(key)
+		id := recordIDOf(key)
 		if known, ok := c.heads[id]; ok && known.Revision >= entry.Revision {
 			continue
 		}
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -272,12 +272,16 @@
 }
 
 func (vm *testVM) submit(id string, itemIDs ...string) error {
+	return vm.submitFor("team", id, itemIDs...)
+}
+
+func (vm *testVM) submitFor(team, id string, itemIDs ...string) error {
 	var items []Item
 	for _, item := range itemIDs {
 		items = append(items, Item{ItemID: item, Path: "/b/x", Body: []byte("body of " + item), Tokens: 100})
 	}
 	return vm.service.Submit(context.Background(), Submission{
-		JobID: id, Team: "team", Host: "h", Path: "/b/" + id, Route: vm.fleet.config.Route("h", "/b/"), Items: items,
+		JobID: id, Team: team, Host: "h", Path: "/b/" + id, Route: vm.fleet.config.Route("h", "/b/"), Items: items,
 		SameRoute: func(string, string) bool { return true }, Deadline: time.Now().Add(4 * time.Second),
 	})
 }
@@ -451,7 +455,7 @@
 	store := &faultyStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}
 	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	repository := NewRepository(store, headCache, 1<<20, noOwnerResults)
-	_, created, err := repository.Create(context.Background(), "j", Head{Team: "team", Items: 1}, []Item{{ItemID: "a"}})
+	_, _, created, err := repository.Create(context.Background(), "j", Head{Team: "team", Items: 1}, []Item{{ItemID: "a"}})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, created, qt.IsTrue)
 	upToDate := true
@@ -504,9 +508,9 @@
 	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
 	reader := NewRepository(f.store, headCache, 1<<20, func(_ context.Context, jobID string, _ Head, from int) []Result {
 		asked++
-		return vm.repository.Cached(jobID, from)[:1]
+		return vm.repository.CachedResults(jobID, from)[:1]
 	})
-	head, _, err := reader.Find(context.Background(), "j")
+	_, head, _, err := reader.Find(context.Background(), "team", "j")
 	qt.Assert(t, err, qt.IsNil)
 	read, err := reader.Results(context.Background(), "j", head, 0)
 	qt.Assert(t, err, qt.IsNil)
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -6,7 +6,11 @@
 package jobs
 
 import (
+	"crypto/sha256"
+	"encoding/base64"
 	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -19,13 +23,41 @@
 // HeadPrefix is the store's key prefix of the heads of all jobs.
 const HeadPrefix = "job/head/"
 
-func headKey(jobID string) string           { return HeadPrefix + jobID }
-func bodyPrefix(jobID string) string        { return "job/body/" + jobID + "/" }
-func bodyKey(jobID string, part int) string { return fmt.Sprintf("%s%04d", bodyPrefix(jobID), part) }
-func resultPrefix(jobID string) string      { return "job/result/" + jobID + "/" }
+// plainIDPattern matches the job ids that stand in keys as they are.
+var plainIDPattern = regexp.MustCompile(`^[A-Za-z0-9._-]{1,100}$`)
+
+// recordIDs returns the ids under which the records of a team's job may be, in the order in which
+// they are used. A plain job id is its own record id, unless another team has a job of this name.
+// Every other job gets a record id that is a hash of team and job id, so that no text of a caller
+// is in a key; jobs with such ids that earlier versions stored are under the job id itself.
+func recordIDs(team, jobID string) []string {
+	sum := sha256.Sum256([]byte(strconv.Itoa(len(team)) + ":" + team + jobID))
+	hashed := hashedIDPrefix + base64.RawURLEncoding.EncodeToString(sum[:])
+	switch {
+	case plainIDPattern.MatchString(jobID):
+		return []string{jobID, hashed}
+	case len(resultKey(jobID, 0)) <= maxKeyBytes:
+		return []string{hashed, jobID}
+	}
+	return []string{hashed}
+}
+
+// mayCreate reports whether a new job may get the record id.
+func mayCreate(recordID string) bool {
+	return plainIDPattern.MatchString(recordID) || strings.HasPrefix(recordID, hashedIDPrefix)
+}
+
+func headKey(recordID string) string    { return HeadPrefix + recordID }
+func bodyPrefix(recordID string) string { return "job/body/" + recordID + "/" }
+
+func bodyKey(recordID string, part int) string {
+	return fmt.Sprintf("%s%04d", bodyPrefix(recordID), part)
+}
+
+func resultPrefix(recordID string) string { return "job/result/" + recordID + "/" }
 
-func resultKey(jobID string, position int) string {
-	return fmt.Sprintf("%s%06d", resultPrefix(jobID), position)
+func resultKey(recordID string, position int) string {
+	return fmt.Sprintf("%s%06d", resultPrefix(recordID), position)
 }
 
 // Head is the mutable part of a job: its owner and its progress.
@@ -101,7 +133,7 @@
 	return head, nil
 }
 
-func jobIDOf(key string) string { return strings.TrimPrefix(key, HeadPrefix) }
+func recordIDOf(key string) string { return strings.TrimPrefix(key, HeadPrefix) }
 
 // splitBody encodes the items and splits the encoding into values of at most
 // valueBytes.
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -47,8 +47,8 @@
 // may not have been accepted.
 func (s *Service) Submit(ctx context.Context, submission Submission) error {
 	id := submission.JobID
-	if head, ok, _ := s.headCache.Head(id); ok {
-		return s.resolveExisting(submission, head)
+	if _, _, ok := s.repository.Cached(submission.Team, id); ok {
+		return nil
 	}
 	tokens := int64(0)
 	for _, item := range submission.Items {
@@ -58,10 +58,10 @@
 		waiting := s.headCache.WaitingTokens(submission.Team, func(h Head) bool { return submission.SameRoute(h.Host, h.Path) })
 		if waiting+tokens > limit {
 			// Another VM may just have accepted the job, and the cache may not show it yet.
-			if head, ok, err := s.repository.Reload(ctx, id); err == nil && ok {
-				return s.resolveExisting(submission, head)
-			} else if err != nil {
+			if _, _, ok, err := s.repository.FindStored(ctx, submission.Team, id); err != nil {
 				return unknownOutcome(err)
+			} else if ok {
+				return nil
 			}
 			s.log.Info("job refused: waiting tokens of the team would exceed the limit", "job", id, "team", submission.Team, "tokens", tokens, "waiting_tokens", waiting, "limit", limit)
 			return bergamotgrade.NewError(bergamotgrade.KindRateExceeded, "the team's waiting batch items are at their limit", "try again once items are done").
@@ -71,15 +71,6 @@
 	return s.create(ctx, submission, tokens)
 }
 
-// resolveExisting returns the outcome of submitting a job whose id is already in
-// use: success for the same team, otherwise a conflict.
-func (s *Service) resolveExisting(submission Submission, head Head) error {
-	if head.Team != submission.Team {
-		return bergamotgrade.NewError(bergamotgrade.KindConflict, "another team's batch job has this id", "choose another id").WithNotRun()
-	}
-	return nil
-}
-
 // create stores the job and retries for up to submitTimeout while the store fails.
 func (s *Service) create(ctx context.Context, submission Submission, tokens int64) error {
 	now := s.clock.Now()
@@ -96,19 +87,21 @@
 	}
 	nothingStored := true
 	for {
-		stored, created, err := s.repository.Create(ctx, submission.JobID, head, submission.Items)
+		recordID, _, created, err := s.repository.Create(ctx, submission.JobID, head, submission.Items)
 		if err == nil {
 			if created {
-				s.log.Info("job accepted", "job", submission.JobID, "team", submission.Team, "items", len(submission.Items), "tokens", tokens, "owner", head.Owner)
-				return nil
+				s.log.Info("job accepted", "job", recordID, "job_id", submission.JobID, "team", submission.Team, "items", len(submission.Items), "tokens", tokens, "owner", head.Owner)
 			}
-			return s.resolveExisting(submission, stored)
+			return nil
 		}
 		failure := bergamotgrade.AsError(err)
+		if failure.Kind() == bergamotgrade.KindConflict || failure.Kind() == bergamotgrade.KindRequestTooLarge {
+			return failure
+		}
 		if !failure.NotRun() {
 			nothingStored = false
-			if found, ok, err := s.repository.Reload(ctx, submission.JobID); err == nil && ok {
-				return s.resolveExisting(submission, found)
+			if _, _, ok, err := s.repository.FindStored(ctx, submission.Team, submission.JobID); err == nil && ok {
+				return nil
 			}
 		}
 		if s.clock.Now().Add(storeRetryDelay).After(giveUpAt) || !bergamotgrade.Sleep(ctx, storeRetryDelay) {
@@ -136,34 +129,35 @@
 	return bergamotgrade.NewError(bergamotgrade.KindRouteUnknown, "the team has no such batch job", "check the id")
 }
 
-// find returns the head of the team's job, or an error if the team has no such job.
-func (s *Service) find(ctx context.Context, team, jobID string) (Head, error) {
-	head, ok, err := s.repository.Find(ctx, jobID)
+// find returns the record id and the head of the team's job, or an error if the team has no such
+// job.
+func (s *Service) find(ctx context.Context, team, jobID string) (recordID string, head Head, err error) {
+	recordID, head, ok, err := s.repository.Find(ctx, team, jobID)
 	if err != nil {
-		return Head{}, storeUnavailable(err)
+		return "", Head{}, storeUnavailable(err)
 	}
-	if !ok || head.Team != team {
-		return Head{}, unknownJob()
+	if !ok {
+		return "", Head{}, unknownJob()
 	}
-	return head, nil
+	return recordID, head, nil
 }
 
 // Results returns the job's number of items and its results from position from on.
 // If there is none yet it waits for one until waitUntil.
 func (s *Service) Results(ctx context.Context, team, jobID string, from int, waitUntil time.Time) (total int, results []Result, err error) {
-	head, err := s.find(ctx, team, jobID)
+	recordID, head, err := s.find(ctx, team, jobID)
 	if err != nil {
 		return 0, nil, err
 	}
-	head = s.waitForResult(ctx, jobID, head, from, waitUntil)
+	head = s.waitForResult(ctx, recordID, head, from, waitUntil)
 	if from == head.Listed && head.Open() && s.refresh(ctx, maxHeadAge) {
-		if refreshed, ok, _ := s.headCache.Head(jobID); ok {
+		if refreshed, ok, _ := s.headCache.Head(recordID); ok {
 			head = refreshed
 		}
 	} else if from >= head.Listed && head.Listed < head.Items {
 		// The cached head may be older than results that the caller has read at
 		// another VM.
-		if head, _, err = s.repository.Reload(ctx, jobID); err != nil {
+		if head, _, err = s.repository.Reload(ctx, recordID); err != nil {
 			return 0, nil, storeUnavailable(err)
 		}
 		if head.Revision == 0 {
@@ -173,7 +167,7 @@
 	if from >= head.Listed {
 		return head.Items, nil, nil
 	}
-	results, err = s.repository.Results(ctx, jobID, head, from)
+	results, err = s.repository.Results(ctx, recordID, head, from)
 	if err != nil || len(results) == 0 {
 		return 0, nil, storeUnavailable(err)
 	}
@@ -182,7 +176,7 @@
 
 // waitForResult waits until a result is stored at position from, the job needs no
 // more results, or the time is up. It returns the latest cached head.
-func (s *Service) waitForResult(ctx context.Context, jobID string, head Head, from int, until time.Time) Head {
+func (s *Service) waitForResult(ctx context.Context, recordID string, head Head, from int, until time.Time) Head {
 	wait := until.Sub(s.clock.Now())
 	if wait <= 0 || from < head.Listed || !head.Open() {
 		return head
@@ -190,7 +184,7 @@
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		next, ok, changed := s.headCache.Head(jobID)
+		next, ok, changed := s.headCache.Head(recordID)
 		if ok {
 			head = next
 		}
@@ -209,14 +203,14 @@
 
 // ItemBody returns the body of an item of a job that was not cancelled.
 func (s *Service) ItemBody(ctx context.Context, team, jobID, itemID string) ([]byte, error) {
-	head, err := s.find(ctx, team, jobID)
+	recordID, head, err := s.find(ctx, team, jobID)
 	if err != nil {
 		return nil, err
 	}
 	if head.Ended {
 		return nil, unknownJob()
 	}
-	items, err := s.repository.Items(ctx, jobID, head)
+	items, err := s.repository.Items(ctx, recordID, head)
 	if err != nil {
 		return nil, storeUnavailable(err)
 	}
@@ -231,7 +225,7 @@
 // End cancels the job; results that are already stored stay readable. It succeeds
 // again for a cancelled job.
 func (s *Service) End(ctx context.Context, team, jobID string) error {
-	head, err := s.find(ctx, team, jobID)
+	recordID, head, err := s.find(ctx, team, jobID)
 	if err != nil {
 		return err
 	}
@@ -241,10 +235,10 @@
 		}
 		next := head
 		next.Ended = true
-		current, applied, err := s.repository.ReplaceHead(ctx, jobID, next)
+		current, applied, err := s.repository.ReplaceHead(ctx, recordID, next)
 		switch {
 		case err == nil && applied:
-			s.log.Info("job cancelled by its caller", "job", jobID, "listed", head.Listed, "items", head.Items)
+			s.log.Info("job cancelled by its caller", "job", recordID, "listed", head.Listed, "items", head.Items)
 			return nil
 		case err == nil && current.Revision == 0:
 			return unknownJob()
