--- a/relay/relay.go
+++ b/relay/relay.go
@@ -117,6 +117,8 @@
 	mediaType string
 	// events are those that were sent to the caller.
 	events *Sequence
+	// emptyServerID is the server that had no event where the next one was due; empty for none.
+	emptyServerID string
 	// bodyBegun is set once a part of a body that is no event stream was sent to the caller; no
 	// other answer can go on with it.
 	bodyBegun bool
@@ -354,8 +356,7 @@
 		if err == io.EOF && received == 0 && answer.EndsWithConnection {
 			return io.ErrUnexpectedEOF // the server ended before its first event
 		}
-		if err == io.EOF && received == 0 && resumed {
-			// Whether the stream was complete without its end is not known.
+		if err == io.EOF && received == 0 && run.events.Last() != "" && !run.confirmEnd(server) {
 			return errors.Newf("nothing follows event %q", run.events.Last())
 		}
 		if err == io.EOF {
@@ -367,7 +368,7 @@
 		if err := run.events.Append(event); err != nil {
 			return err
 		}
-		if resumed && received == 0 && event.ID == "" {
+		if received == 0 && event.ID == "" && run.events.Last() != "" {
 			received-- // no part of the stream
 			continue
 		}
@@ -386,6 +387,14 @@
 	}
 }
 
+// confirmEnd reports whether a stream is complete after its last event: another server had nothing
+// to go on with either. One alone may be in trouble.
+func (run *requestRun) confirmEnd(server bergamotgrade.ServerRecord) bool {
+	confirmed := run.emptyServerID != "" && run.emptyServerID != server.ServerID
+	run.emptyServerID = server.ServerID
+	return confirmed
+}
+
 // forwardBody sends a response that is not an event stream. A body of at most
 // maxBufferedBytes is sent only once it is complete.
 func (run *requestRun) forwardBody(answer *bergamotgrade.Answer) error {
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -11,6 +11,21 @@
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
+// knownOrigins knows the same origin of all streams.
+type knownOrigins struct{ origin bergamotgrade.StreamOrigin }
+
+func (o knownOrigins) Find(context.Context, string, []string) (bergamotgrade.StreamOrigin, error) {
+	return o.origin, nil
+}
+
+func (knownOrigins) Began(string, bergamotgrade.StreamOrigin, int) {}
+
+// resumeAfter makes the request take up a stream of the servers of newScheduler.
+func resumeAfter(relay *Relay, request *Request, lastEvent string) {
+	request.ResumeAfter, request.Resumes = lastEvent, "r0"
+	relay.origins = knownOrigins{bergamotgrade.OriginOf(bergamotgrade.ServerRecord{Service: "svc"})}
+}
+
 // notTheNextEvents holds what a server in trouble may send where event 3 of a stream is due.
 var notTheNextEvents = map[string]result{
 	"error status":                {status: 503, body: "busy"},
@@ -60,19 +75,44 @@
 			qt.Assert(t, out.body.String(), qt.Equals, formatEvents(1, 4))
 			qt.Assert(t, s.attempts[2].ResumeAfter, qt.Equals, "2")
 
-			// The caller itself takes the stream up.
+			// The caller itself takes the stream up, and no other server is asked.
 			relay, _ = newRelay(newScheduler("a", "b"), wrong)
 			request := newStreamRequest(true, 1)
-			request.ResumeAfter, request.Resumes = "2", "r0"
+			resumeAfter(relay, request, "2")
 			out = recorder{}
 			err = relay.Serve(context.Background(), request, &out)
-			if wrong.status == 200 && err == nil {
-				qt.Assert(t, strings.HasPrefix(out.body.String(), "id: 3\n") || !strings.Contains(out.body.String(), "data"), qt.IsTrue, qt.Commentf("%q", out.body.String()))
+			if wrong.status >= 400 && wrong.status < 503 && !wrong.unsigned || wrong.status == 302 {
+				qt.Assert(t, err, qt.IsNil) // a server's own answer to this request
+				return
 			}
+			qt.Assert(t, err != nil || out.body.String() == formatEvents(3, 4), qt.IsTrue, qt.Commentf("%q", out.body.String()))
 		})
 	}
 }
 
+// TestEndOfAStreamIsConfirmed guards against a stream that ends too soon because one server has nothing
+// to go on with, and against one that never ends because its end was lost with a connection.
+func TestEndOfAStreamIsConfirmed(t *testing.T) {
+	for _, callerResumes := range []bool{false, true} {
+		for _, servers := range [][]string{{"a", "b", "c"}, {"a"}} {
+			results := []result{{status: 200, body: formatEvents(1, 2), truncated: true}, {status: 200}, {status: 200, body: ": done\n\n"}}
+			request := newStreamRequest(true, 3)
+			want := formatEvents(1, 2)
+			if callerResumes {
+				want, results = "", results[1:]
+			}
+			relay, _ := newRelay(newScheduler(servers...), results...)
+			if callerResumes {
+				resumeAfter(relay, request, "2")
+			}
+			var out recorder
+			err := relay.Serve(context.Background(), request, &out)
+			qt.Assert(t, err == nil, qt.Equals, len(servers) > 1, qt.Commentf("%v", err))
+			qt.Assert(t, out.body.String(), qt.Equals, want)
+		}
+	}
+}
+
 // TestGarbageAfterAnEvent guards against the same later in an answer.
 func TestGarbageAfterAnEvent(t *testing.T) {
 	for _, garbage := range []string{
