Soak: hostile callers, odd registry entries, engines in trouble, disk VMs replaced in outages; large fleets

New kinds, drawn apart from the others so that older seeds keep their faults: an engine that writes an earlier refusal again, one that goes on with streams with text that is no event, one that says it leaves, another writer in the registry, a disk VM that is killed and replaced at another address while the store is silent.

--- a/soak/command.go
+++ b/soak/command.go
@@ -21,6 +21,7 @@
 	first  uint64
 	count  uint64
 	jobs   int
+	vms    int
 	length time.Duration
 	folder string
 }
@@ -45,6 +46,7 @@
 	flags.Uint64Var(&o.first, "seed", uint64(time.Now().Unix()), "first seed; the default is the current time")
 	flags.Uint64Var(&o.count, "count", 1, "number of seeds")
 	flags.IntVar(&o.jobs, "jobs", 4, "number of seeds that run concurrently")
+	flags.IntVar(&o.vms, "vms", 0, "number of VMs of a large fleet, which needs --jobs 1; 0 selects a small fleet by the seed")
 	flags.DurationVar(&o.length, "length", 20*time.Second, "duration of the load and the faults of a seed")
 	flags.StringVar(&o.folder, "folder", "", "`folder` for settings files and logs; empty creates a temporary one")
 	return command
@@ -54,6 +56,9 @@
 func Execute(ctx context.Context) error { return NewCommand().ExecuteContext(ctx) }
 
 func (o *options) run(out io.Writer) error {
+	if o.vms > maxVMs && o.jobs > 1 || o.vms > maxLargeVMs {
+		return errors.Newf("more than %d VMs need --jobs 1, and %d is the most", maxVMs, maxLargeVMs)
+	}
 	if o.folder == "" {
 		folder, err := os.MkdirTemp("", "soak")
 		if err != nil {
@@ -99,7 +104,7 @@
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return Report{}, err
 	}
-	report, err := Run(Options{Binary: o.binary, Seed: seed, Length: o.length, Folder: folder})
+	report, err := Run(Options{Binary: o.binary, Seed: seed, Length: o.length, Folder: folder, VMs: o.vms})
 	if err != nil || len(report.Violations) > 0 {
 		return report, errors.Wrapf(err, "seed %d", seed)
 	}
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -9,9 +9,10 @@
 	minDiskVMs, maxDiskVMs         = 1, 3
 	minEngines, maxEngines         = 4, 8
 	minDataCentres, maxDataCentres = 1, 3
-	// maxVMs bounds the number of VMs of a fleet. Every VM has its own loopback address;
-	// maxVMs addresses are reserved per fleet.
-	maxVMs = 8
+	// maxVMs bounds the number of VMs of a small fleet. Every VM has its own loopback address;
+	// maxVMs addresses are reserved per small fleet, maxLargeVMs for a large one.
+	maxVMs      = 8
+	maxLargeVMs = 200
 	// engineSlots and eventTime give the engines enough capacity for the load while a
 	// few of them are unavailable.
 	engineSlots = 4
@@ -24,6 +25,13 @@
 	// events and takes up at another VM.
 	breakInterval = 120 * time.Millisecond
 	breakAfter    = 2
+	// hostileInterval is the pause between two requests of the hostile caller, halfCloseDelay the
+	// time after which it closes its sending side, and oddJobItems the items of its jobs.
+	hostileInterval = 500 * time.Millisecond
+	halfCloseDelay  = 15 * time.Millisecond
+	oddJobItems     = 2
+	// replaceDelay is the time from the beginning of an outage until a disk VM is replaced.
+	replaceDelay = 500 * time.Millisecond
 	// limitedRate (requests per second) and limitedBurst are the limits of the limited
 	// team. They are lower than the load of its callers, so that the limiter must refuse.
 	limitedRate  = 20
@@ -57,6 +65,9 @@
 	// that overlap an earlier one on the same target are dropped.
 	minFaults = 6
 	maxFaults = 14
+	// minLaterFaults and maxLaterFaults bound the number of faults of the later kinds.
+	minLaterFaults = 2
+	maxLaterFaults = 5
 	// maxFaultDuration bounds the drawn part of a fault's duration.
 	maxFaultDuration = 4 * time.Second
 	// allKilledProbability is the probability that a run ends with SIGKILL to all VMs.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -101,7 +101,7 @@
 		f.storeProxies = append(f.storeProxies, proxy)
 		vm := &process{binary: binary, folder: folder, onUnexpectedExit: checker.reportExit, settings: standin.Settings{
 			VMID: fmt.Sprint("vm", i), DataCentre: size.dataCentre(i), ServesCallers: i < size.entryVMs, StoreAddress: proxy.Address(),
-			IP: fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, 1+number%31*maxVMs+i),
+			IP: vmAddress(pid, number, size.vms(), i),
 		}}
 		f.vms = append(f.vms, vm)
 		if err := vm.start(); err != nil {
@@ -118,6 +118,16 @@
 	return f, f.awaitReady(startTimeout)
 }
 
+// vmAddress returns the address of the ith VM of a fleet. The addresses of a process are divided
+// among its fleets; a large fleet has all of them.
+func vmAddress(pid, number, vms, i int) string {
+	first := 1
+	if vms <= maxVMs {
+		first += number % 31 * maxVMs
+	}
+	return fmt.Sprintf("127.%d.%d.%d", pid>>8&0xff, pid&0xff, first+i)
+}
+
 // serve serves a stand-in on a free loopback port and returns its address.
 func (f *fleet) serve(handler http.Handler) (string, error) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -88,6 +88,8 @@
 				i.targetLock(fault{kind: faultKill, target: n}).Unlock()
 			}
 		}
+	case faultRegistryOdd:
+		return i.leaveOddEntries()
 	case faultStoreCompact:
 		i.fleet.store.Compact()
 		return func() {}
@@ -144,6 +146,8 @@
 		return func() { i.restart(vm) }
 	case faultRetire:
 		return i.retire(f, vm)
+	case faultDiskReplaced:
+		return i.replaceInOutage(vm)
 	case faultReload:
 		vm.hangUp()
 	case faultCallersReset:
@@ -178,6 +182,36 @@
 	}
 }
 
+// leaveOddEntries leaves odd entries among those of the engines, at the address of an engine that
+// would run what it gets.
+func (i *injector) leaveOddEntries() (end func()) {
+	odd := standin.OddRegistryWrites(serviceOne, i.fleet.engines[0].proxy.Address())
+	var keys []string
+	for _, write := range odd {
+		keys = append(keys, write.Key)
+	}
+	i.fleet.write(bergamotgrade.KeyCommit{Writes: odd})
+	return func() { i.fleet.write(bergamotgrade.KeyCommit{Deletes: keys}) }
+}
+
+// replaceInOutage makes the store silent for all VMs, kills the disk VM and starts another one at
+// another address.
+func (i *injector) replaceInOutage(vm *process) (end func()) {
+	var ends []func()
+	for _, proxy := range i.fleet.storeProxies {
+		ends = append(ends, blackhole(proxy, true))
+	}
+	time.Sleep(replaceDelay)
+	vm.terminate(syscall.SIGKILL, time.Second)
+	vm.replace()
+	i.restart(vm)
+	return func() {
+		for _, end := range ends {
+			end()
+		}
+	}
+}
+
 // blackhole drops the data on the proxy's open connections, in both directions or only
 // that of answers; with both set it drops the data on new connections too.
 func blackhole(proxy *tcpproxy.Proxy, both bool) (end func()) {
@@ -232,6 +266,25 @@
 			e.Restart()
 			i.fleet.registerEngine(f.target, "ready")
 		}
+	case faultEngineRepeat:
+		e.RepeatRefusals(true)
+		return func() { e.RepeatRefusals(false) }
+	case faultEngineBabble:
+		next := i.fleet.engines[(f.target+2)%i.fleet.size.engines] // of the same service
+		e.AbortAfter(2)
+		next.Babble(true)
+		return func() {
+			e.AbortAfter(0)
+			next.Babble(false)
+		}
+	case faultEngineLeave:
+		e.Leave()
+		checkLeaving := i.fleet.checker.watchDrain(f, e, i.plan)
+		return func() {
+			checkLeaving()
+			e.Restart()
+			i.fleet.registerEngine(f.target, "ready")
+		}
 	case faultEngineSwap:
 		return i.swapAddresses(f.target, (f.target+1)%i.fleet.size.engines)
 	}
--- a/soak/load.go
+++ b/soak/load.go
@@ -40,12 +40,13 @@
 // outstanding answers.
 func (g *loadGenerator) run(ctx context.Context) {
 	for vm := range g.fleet.size.entryVMs {
-		for n := range callersPerVM {
+		for n := range g.fleet.size.callersPerVM {
 			g.running.Go(func() { g.runCaller(ctx, vm, n) })
 		}
 		g.running.Go(func() { g.runBreaker(ctx, vm) })
 	}
 	g.running.Go(func() { g.runJobs(ctx) })
+	g.running.Go(func() { g.runHostile(ctx) })
 	g.running.Go(func() { g.runResultsReader(ctx) })
 	g.running.Wait()
 	g.client.CloseIdleConnections()
@@ -113,6 +114,39 @@
 	}
 }
 
+// runHostile sends what may take VMs in: items whose paths hold a second request, jobs whose ids
+// continue each other's, and connections whose sending side closes early.
+func (g *loadGenerator) runHostile(ctx context.Context) {
+	for i := 0; bergamotgrade.Sleep(ctx, hostileInterval); i++ {
+		caller := g.fleet.newCaller(i%g.fleet.size.entryVMs, mainKey, g.client)
+		switch i % 3 {
+		case 0:
+			reply, err := caller.Smuggle(fmt.Sprint("smuggler", i))
+			if err == nil && reply.Status == http.StatusAccepted {
+				g.checker.reportViolation("UNASKED", "a job whose item holds a second request was accepted")
+			}
+		case 1:
+			for _, suffix := range []string{"/0", ""} {
+				id := fmt.Sprintf("odd%d%s", i, suffix)
+				var items []string
+				for n := range oddJobItems {
+					items = append(items, fmt.Sprintf("%s-%d", id, n))
+				}
+				g.checker.recordJob(id, items)
+				g.running.Go(func() { g.runSubmission(id, items) })
+			}
+		case 2:
+			id := fmt.Sprint("half", i)
+			path := standin.SafePath + id
+			g.checker.recordRequest(id, path, 0)
+			answer, err := caller.HalfClose(path, id, halfCloseDelay)
+			if standin.IsEmptySuccess(answer) {
+				g.checker.reportViolation("MIXED", fmt.Sprintf("caller that closed its sending side got %q (error %v)", answer, err))
+			}
+		}
+	}
+}
+
 // runSubmission submits a job to the entry VMs in turn until one accepts it or
 // submitAttempts is reached.
 func (g *loadGenerator) runSubmission(id string, items []string) {
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -37,6 +37,11 @@
 	faultEngineSlow            faultKind = "engine_slow"      // data to and from the engine is delayed
 	faultEngineDrain           faultKind = "engine_drain"     // drains, leaves the registry and registers again
 	faultEngineSwap            faultKind = "engine_moved"     // swaps addresses with the next engine; the registry entries stay as they were
+	faultEngineRepeat          faultKind = "engine_repeats"   // an earlier refusal is written again ahead of answers
+	faultEngineBabble          faultKind = "engine_babbles"   // streams break, and the next engine goes on with text that is no event
+	faultEngineLeave           faultKind = "engine_leaves"    // answers say that the engine leaves; registers as restarted at the end
+	faultRegistryOdd           faultKind = "registry_odd"     // another writer leaves odd entries among those of the engines
+	faultDiskReplaced          faultKind = "disk_replaced"    // the store is silent; a disk VM is killed and replaced at another address
 	faultConfigStorm           faultKind = "config_storm"     // new configurations follow in quick succession
 	faultAllKilled             faultKind = "all_killed"       // SIGKILL to all VMs
 )
@@ -49,6 +54,9 @@
 	fleetFaults  = []faultKind{faultStoreDown, faultStoreReadOnly, faultStoreAnswersLost, faultStoreSlow, faultStoreCompact, faultStoreWatchesSuspended, faultConfigStorm}
 )
 
+// laterFaults are drawn apart from the others, so that the plans of older seeds keep their faults.
+var laterFaults = []faultKind{faultEngineRepeat, faultEngineBabble, faultEngineLeave, faultRegistryOdd, faultDiskReplaced}
+
 // fault is one fault of a plan. Its start is relative to the start of the load.
 type fault struct {
 	kind     faultKind
@@ -65,18 +73,26 @@
 // fleetSize holds the numbers of VMs, engines and data centres of a fleet.
 type fleetSize struct {
 	entryVMs, diskVMs, engines, dataCentres int
+	// callersPerVM is the number of callers of one VM.
+	callersPerVM int
 }
 
 // vms returns the number of entry and disk VMs together.
 func (s fleetSize) vms() int { return s.entryVMs + s.diskVMs }
 
-// newFleetSize returns the size of the fleet of a seed.
-func newFleetSize(seed uint64) fleetSize {
+// newFleetSize returns the size of the fleet of a seed; vms is its number of VMs, or zero for a small
+// fleet of a random size.
+func newFleetSize(seed uint64, vms int) fleetSize {
+	if vms > 0 {
+		disks := max(1, vms/3)
+		return fleetSize{entryVMs: max(1, vms-disks), diskVMs: disks, engines: max(minEngines, vms-vms%2), dataCentres: maxDataCentres, callersPerVM: 1}
+	}
 	random := rand.New(rand.NewPCG(seed, 1))
 	between := func(least, most int) int { return least + random.IntN(most-least+1) }
 	return fleetSize{
 		entryVMs: between(minEntryVMs, maxEntryVMs), diskVMs: between(minDiskVMs, maxDiskVMs),
 		engines: between(minEngines, maxEngines), dataCentres: between(minDataCentres, maxDataCentres),
+		callersPerVM: callersPerVM,
 	}
 }
 
@@ -112,6 +128,7 @@
 			plan = append(plan, f)
 		}
 	}
+	plan = addLaterFaults(plan, seed, size, length)
 	if random.Float64() < allKilledProbability {
 		plan = append(plan, fault{kind: faultAllKilled, start: length, duration: time.Second})
 	}
@@ -119,6 +136,25 @@
 	return plan
 }
 
+// addLaterFaults adds faults of the later kinds to the plan.
+func addLaterFaults(plan []fault, seed uint64, size fleetSize, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 2))
+	for range minLaterFaults + random.IntN(maxLaterFaults-minLaterFaults+1) {
+		f := fault{kind: laterFaults[random.IntN(len(laterFaults))], duration: time.Duration(random.Int64N(int64(maxFaultDuration))) + time.Second}
+		f.start = time.Duration(random.Int64N(int64(length - f.duration)))
+		switch f.targetKind() {
+		case "engine":
+			f.target = random.IntN(size.engines)
+		case "vm":
+			f.target = size.entryVMs + random.IntN(size.diskVMs)
+		}
+		if !slices.ContainsFunc(plan, f.overlaps) {
+			plan = append(plan, f)
+		}
+	}
+	return plan
+}
+
 // overlaps reports whether both faults affect the same target at the same time.
 func (f fault) overlaps(other fault) bool {
 	return f.targetKind() == other.targetKind() && f.target == other.target && f.start < other.start+other.duration && other.start < f.start+f.duration
@@ -127,9 +163,9 @@
 // targetKind returns the kind of the fault's target: vm, engine or fleet.
 func (f fault) targetKind() string {
 	switch {
-	case slices.Contains(vmFaults, f.kind):
+	case slices.Contains(vmFaults, f.kind), f.kind == faultDiskReplaced:
 		return "vm"
-	case slices.Contains(engineFaults, f.kind):
+	case slices.Contains(engineFaults, f.kind), f.kind == faultEngineRepeat, f.kind == faultEngineBabble, f.kind == faultEngineLeave:
 		return "engine"
 	}
 	return "fleet"
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -13,7 +13,7 @@
 func TestPlan(t *testing.T) {
 	seen := map[faultKind]bool{}
 	for seed := range uint64(200) {
-		size := newFleetSize(seed)
+		size := newFleetSize(seed, 0)
 		qt.Assert(t, size.vms() <= maxVMs, qt.IsTrue)
 		plan := newPlan(seed, size, 20*time.Second)
 		qt.Assert(t, fmt.Sprint(newPlan(seed, size, 20*time.Second)), qt.Equals, fmt.Sprint(plan))
@@ -26,5 +26,5 @@
 			}
 		}
 	}
-	qt.Assert(t, len(seen), qt.Equals, len(vmFaults)+len(engineFaults)+len(fleetFaults)+1)
+	qt.Assert(t, len(seen), qt.Equals, len(vmFaults)+len(engineFaults)+len(fleetFaults)+len(laterFaults)+1)
 }
--- a/soak/process.go
+++ b/soak/process.go
@@ -1,10 +1,13 @@
 package soak
 
 import (
+	"fmt"
 	"io"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -15,6 +18,10 @@
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 )
 
+// replacedAddressBit is set in the second byte of the address of every other replacement; process
+// ids, which that byte is part of, leave it free on most machines.
+const replacedAddressBit = 0x80
+
 // process runs the program of one VM and restarts it.
 type process struct {
 	binary   string
@@ -30,6 +37,8 @@
 	// exited is closed when the current process exits.
 	exited       chan struct{}
 	exitExpected bool
+	// replacements counts the VMs that took the place of the first one.
+	replacements int
 	startedAt    time.Time
 }
 
@@ -61,6 +70,18 @@
 	return nil
 }
 
+// replace makes the next start that of another VM, at another address.
+func (p *process) replace() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.replacements++
+	name, _, _ := strings.Cut(p.settings.VMID, "-")
+	p.settings.VMID = fmt.Sprintf("%s-%d", name, p.replacements)
+	address := net.ParseIP(p.settings.IP).To4()
+	address[1] ^= replacedAddressBit
+	p.settings.IP = address.String()
+}
+
 // wait waits until the process exits and reports an unexpected exit.
 func (p *process) wait(command *exec.Cmd, log io.Closer, exited chan<- struct{}) {
 	err := command.Wait()
--- a/soak/run.go
+++ b/soak/run.go
@@ -18,6 +18,8 @@
 	Seed   uint64
 	// Length is the duration of the load, in which the faults start and end.
 	Length time.Duration
+	// VMs is the number of VMs of the fleet; zero selects a small one by the seed.
+	VMs int
 	// Folder is the existing directory for the settings files and logs.
 	Folder string
 }
@@ -36,7 +38,7 @@
 // to recover and all accepted items have to end. Violated guarantees are in the report;
 // the error is non-nil only if the fleet or its log could not be set up.
 func Run(options Options) (Report, error) {
-	size := newFleetSize(options.Seed)
+	size := newFleetSize(options.Seed, options.VMs)
 	plan := newPlan(options.Seed, size, options.Length)
 	report := Report{Seed: options.Seed, Size: fmt.Sprintf("%d+%d VMs, %d engines, %d data centres", size.entryVMs, size.diskVMs, size.engines, size.dataCentres)}
 	for _, f := range plan {
