Configuration: a watch that missed a change learns of the lost history in time (CONFIG)

Another watch that learns of it first restarts all, but here none did.

Change: watches of the operator's prefix wait for 1.5 s at most. Only one VM of a fleet watches it, so this adds at most 0.4 calls a second to the fleet, whatever its size.

TestChangeBeforeLostHistoryIsKnownInTime fails with the wait of 4 s.

--- a/entry/node.go
+++ b/entry/node.go
@@ -109,16 +109,17 @@
 		prefix        string
 		start         follow.Start
 		fetchInterval time.Duration
+		watchWait     time.Duration
 		onChange      func(map[string]bergamotgrade.Entry)
 	}{
 		// The buckets of the teams fill from the first configuration on.
-		{platform.OperatorPrefix, follow.StartAtOnce, 0, n.setOperatorEntries},
-		{platform.ServerPrefix, follow.StartJoined, 0, n.setServers},
-		{memberPrefix, follow.StartDiscovering, 0, n.setMembers},
-		{quarantine.Prefix, follow.StartJoined, 0, n.guard.SetEntries},
-		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, n.headCache.SetEntries},
+		{platform.OperatorPrefix, follow.StartAtOnce, 0, follow.ShortWatchWait, n.setOperatorEntries},
+		{platform.ServerPrefix, follow.StartJoined, 0, follow.LongWatchWait, n.setServers},
+		{memberPrefix, follow.StartDiscovering, 0, follow.LongWatchWait, n.setMembers},
+		{quarantine.Prefix, follow.StartJoined, 0, follow.LongWatchWait, n.guard.SetEntries},
+		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, follow.LongWatchWait, n.headCache.SetEntries},
 	} {
-		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, n, n.announceCopy(mirror.onChange), log)
+		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, mirror.watchWait, n, n.announceCopy(mirror.onChange), log)
 	}
 	n.registerGauges()
 	return n, nil
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -17,10 +17,12 @@
 )
 
 const (
-	// storeWatchWait is the longest wait of one watch call to the store. A waiting watch
-	// may miss changes that the store discards with its history; it learns of the loss
-	// only when the wait ends.
-	storeWatchWait = 4 * time.Second
+	// LongWatchWait is the longest wait of one watch call to the store. A waiting watch may miss
+	// changes that the store discards with its history; it learns of the loss only when the wait
+	// ends. ShortWatchWait is for prefixes whose changes have to be known within two seconds
+	// nevertheless; it costs more calls while nothing changes.
+	LongWatchWait  = 4 * time.Second
+	ShortWatchWait = 1500 * time.Millisecond
 	// historyLostInterval is the shortest time between two restarts of all watches
 	// because the store discarded its history.
 	historyLostInterval = time.Second
@@ -81,6 +83,8 @@
 	start  Start
 	// fetchInterval is the shortest pause between two fetches from the source.
 	fetchInterval time.Duration
+	// watchWait is the longest wait of one watch call to the store.
+	watchWait time.Duration
 	// onChange receives a new map of all entries after each change.
 	onChange func(map[string]bergamotgrade.Entry)
 	peers    Peers
@@ -189,10 +193,11 @@
 var errSourceSilent = errors.New("the source has announced nothing recently")
 
 // NewMirror returns an empty mirror of the prefix; its Run methods keep it up to date. With
-// a source it makes at most one fetch in each fetchInterval.
-func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, fetchInterval time.Duration, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
+// a source it makes at most one fetch in each fetchInterval; without one, each call that watches
+// the store waits for watchWait at most.
+func NewMirror(kv *MonitoredStore, clock bergamotgrade.Clock, prefix string, start Start, fetchInterval, watchWait time.Duration, peers Peers, onChange func(map[string]bergamotgrade.Entry), log *slog.Logger) *Mirror {
 	return &Mirror{
-		kv: kv, clock: clock, prefix: prefix, start: start, fetchInterval: fetchInterval, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
+		kv: kv, clock: clock, prefix: prefix, start: start, fetchInterval: fetchInterval, watchWait: watchWait, peers: peers, onChange: onChange, log: log, fetchRequested: make(chan struct{}, 1), announced: make(chan struct{}, 1),
 		entries: map[string]bergamotgrade.Entry{}, pendingRemoval: map[string]time.Time{},
 	}
 }
@@ -534,7 +539,7 @@
 // watch makes one watch call to the store and applies the changes. It returns nil if
 // the call was cancelled.
 func (m *Mirror) watch(ctx context.Context) error {
-	wait := storeWatchWait
+	wait := m.watchWait
 	m.mu.Lock()
 	if len(m.pendingRemoval) > 0 {
 		wait = recoveryGracePeriod / 4
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -122,7 +122,7 @@
 	f := &mirrorFixture{store: &disconnectableStore{Store: store}, peers: &testPeers{}}
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	f.monitored = NewMonitoredStore(f.store, bergamotgrade.SystemClock{}, f.peerStore, log)
-	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, f.peers, f.publish, log)
+	f.Mirror = NewMirror(f.monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, ShortWatchWait, f.peers, f.publish, log)
 	ctx, cancel := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	running.Go(func() { f.Run(ctx) })
@@ -289,6 +289,22 @@
 	eventually(t, time.Second, "change before the lost history", func() bool { return f.has("servers/a", "2") })
 }
 
+// TestChangeBeforeLostHistoryIsKnownInTime guards against a configuration that is known too late: the
+// watch that missed it is the only one, so no other watch learns of the lost history first.
+func TestChangeBeforeLostHistoryIsKnownInTime(t *testing.T) {
+	store := standin.NewStore(bergamotgrade.SystemClock{})
+	put(t, store, "servers/a", "1")
+	f := newMirrorFixture(t, store)
+	eventually(t, time.Second, "first copy", func() bool { return f.has("servers/a", "1") })
+	time.Sleep(2 * watchInterval)
+	store.SuspendWatches(true)
+	put(t, store, "servers/a", "2")
+	time.Sleep(20 * time.Millisecond) // the waiting watch polls and finds no change
+	store.Compact()
+	store.SuspendWatches(false)
+	eventually(t, 2*time.Second, "change before the lost history", func() bool { return f.has("servers/a", "2") })
+}
+
 // TestFullCopyAfterLostHistory: a watcher and its follower were at the same revision and
 // had both missed an earlier change because the store lost its history. Once the watcher
 // has listed the prefix again, its copy for the follower has to include that change.
@@ -297,7 +313,7 @@
 	put(t, store, "servers/missed", "1")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	monitored := NewMonitoredStore(store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
-	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
+	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, ShortWatchWait, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
 	watcher.revision = 5
 	for range 9 {
 		put(t, store, "servers/other", "1")
@@ -424,7 +440,7 @@
 func newSteppedMirror(store *standin.Store, clock bergamotgrade.Clock, peers Peers) steppedMirror {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	monitored := NewMonitoredStore(store, clock, func() bergamotgrade.KeyValue { return nil }, log)
-	return steppedMirror{NewMirror(monitored, clock, "servers/", StartAtOnce, 0, peers, func(map[string]bergamotgrade.Entry) {}, log), monitored}
+	return steppedMirror{NewMirror(monitored, clock, "servers/", StartAtOnce, 0, ShortWatchWait, peers, func(map[string]bergamotgrade.Entry) {}, log), monitored}
 }
 
 func (m steppedMirror) keys() map[string]bool {
--- a/quarantine/mirror.go
+++ b/quarantine/mirror.go
@@ -12,7 +12,7 @@
 // store, for VMs that don't fetch copies from each other.
 func NewStoreMirror(store bergamotgrade.KeyValue, clock bergamotgrade.Clock, guard *Guard, log *slog.Logger) *follow.Mirror {
 	noPeer := func() bergamotgrade.KeyValue { return nil }
-	return follow.NewMirror(follow.NewMonitoredStore(store, clock, noPeer, log), clock, Prefix, follow.StartAtOnce, 0, noPeers{}, guard.SetEntries, log)
+	return follow.NewMirror(follow.NewMonitoredStore(store, clock, noPeer, log), clock, Prefix, follow.StartAtOnce, 0, follow.LongWatchWait, noPeers{}, guard.SetEntries, log)
 }
 
 // noPeers implements follow.Peers for a VM that watches the store itself.
