--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks format, vet, lint and tests. Tests listed in KNOWN-RED.txt are left out
+# Checks format, vet, lint, tests and a short run of each fuzz target. Tests listed in KNOWN-RED.txt are left out
 # of the verdict, run on their own and printed.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -18,9 +18,11 @@
 known=$(sed -n 's/^test: *//p' KNOWN-RED.txt | sed 's#/#$/^#g; s#^#^#; s#$#$#' | paste -sd'|' -)
 if [ -z "$known" ]; then
   go test ./...
+  bash .ci/fuzz.sh
   exit
 fi
 go test -skip "$known" ./...
+bash .ci/fuzz.sh
 echo "--- known red, left out of the verdict (KNOWN-RED.txt):"
 cat KNOWN-RED.txt
 go test -run "$known" ./... || true
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -218,7 +218,7 @@
 	i.beginAttempt()
 	answer, err := job.runner.exchanger.Exchange(ctx, server, bergamotgrade.Attempt{
 		RequestID: i.item.ItemID, Method: http.MethodPost, Target: i.item.Path, Host: job.spec.Host,
-		Header: i.item.header(), Body: i.item.Body, Team: job.spec.Team,
+		Header: i.item.Header(), Body: i.item.Body, Team: job.spec.Team,
 		ResumeAfter: i.events.Last(), ResponseHeaderTimeout: firstEventTimeout, StallTimeout: stallTimeout, Repeatable: true,
 	})
 	switch {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -336,8 +336,8 @@
 	}
 }
 
-// header returns the item's headers as an http.Header.
-func (i Item) header() http.Header {
+// Header returns the item's headers as an http.Header.
+func (i Item) Header() http.Header {
 	header := make(http.Header, len(i.Headers))
 	for name, value := range i.Headers {
 		header.Set(strings.TrimSpace(name), value)
