--- a/jobs/record.go
+++ b/jobs/record.go
@@ -92,6 +92,10 @@
 // Open reports whether the job was not cancelled and lacks results.
 func (h Head) Open() bool { return !h.Ended && h.Listed < h.Items }
 
+// cacheKey returns the key of a value of the job in the cache of this VM. A job that was removed may
+// be followed by another one with the same records.
+func (h Head) cacheKey(key string) string { return key + "@" + strconv.FormatInt(h.SubmittedAt, 36) }
+
 // Due returns the time at which all results are due.
 func (h Head) Due() time.Time { return time.UnixMilli(h.DueAt) }
 
--- a/jobs/record_test.go
+++ b/jobs/record_test.go
@@ -112,6 +112,31 @@
 	qt.Assert(t, heads, qt.HasLen, len(ids))
 }
 
+// TestJobAfterARemovedOne guards against items and results of a job that was removed, which a VM shows
+// for a later job with the same id.
+func TestJobAfterARemovedOne(t *testing.T) {
+	f := newFleet()
+	ctx := context.Background()
+	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
+	repository := NewRepository(f.store, headCache, 1<<20, noOwnerResults)
+	for submittedAt := range int64(3) {
+		item := fmt.Sprint("item", submittedAt)
+		recordID, head, created, err := repository.Create(ctx, "j", Head{Team: "team", Items: 1, SubmittedAt: submittedAt}, []Item{{ItemID: item}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, created, qt.IsTrue)
+		items, err := repository.Items(ctx, recordID, head)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, items[0].ItemID, qt.Equals, item)
+		head, applied, err := repository.AppendResults(ctx, recordID, head, []Result{{ItemID: item, Text: item}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, applied, qt.IsTrue)
+		found, err := repository.Results(ctx, recordID, head, 0)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, found, qt.DeepEquals, []Result{{ItemID: item, Text: item}})
+		qt.Assert(t, repository.Remove(ctx, recordID, head), qt.IsNil)
+	}
+}
+
 // FuzzRecordIDs checks that two jobs never share a record id that both may be created under.
 func FuzzRecordIDs(f *testing.F) {
 	f.Add("team", "run7", "team", "run7/0")
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -67,7 +67,7 @@
 		if result.Applied() {
 			head.Revision = result.Revision
 			r.headCache.Put(recordID, head)
-			r.cache.put(bodyPrefix(recordID), items, totalBytes(parts))
+			r.cache.put(head.cacheKey(bodyPrefix(recordID)), items, totalBytes(parts))
 			return recordID, head, true, nil
 		}
 		for _, id := range ids {
@@ -167,7 +167,7 @@
 	current, applied, err = r.commitHead(ctx, recordID, next, commit)
 	if applied {
 		for i, result := range results {
-			r.cache.put(resultKey(recordID, head.Listed+i), result, len(result.Text))
+			r.cache.put(head.cacheKey(resultKey(recordID, head.Listed+i)), result, len(result.Text))
 		}
 	}
 	return current, applied, err
@@ -223,7 +223,7 @@
 
 // Items returns the items of the job.
 func (r *Repository) Items(ctx context.Context, recordID string, head Head) ([]Item, error) {
-	if items, ok := r.cache.get(bodyPrefix(recordID)); ok {
+	if items, ok := r.cache.get(head.cacheKey(bodyPrefix(recordID))); ok {
 		return items.([]Item), nil
 	}
 	parts, err := r.bodyParts(ctx, recordID, head, true)
@@ -241,7 +241,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r.cache.put(bodyPrefix(recordID), items, totalBytes(parts))
+	r.cache.put(head.cacheKey(bodyPrefix(recordID)), items, totalBytes(parts))
 	return items, nil
 }
 
@@ -281,7 +281,7 @@
 		return found, nil
 	}
 	for i, result := range r.ownerResults(ctx, recordID, head, from+len(found)) {
-		r.cache.put(resultKey(recordID, from+len(found)+i), result, len(result.Text))
+		r.cache.put(head.cacheKey(resultKey(recordID, from+len(found)+i)), result, len(result.Text))
 	}
 	if found, complete = r.cachedResults(recordID, head, from); complete {
 		return found, nil
@@ -302,7 +302,7 @@
 			if err := msgpack.Unmarshal(entry.Value, &result); err != nil {
 				return nil, err
 			}
-			r.cache.put(entry.Key, result, len(result.Text))
+			r.cache.put(head.cacheKey(entry.Key), result, len(result.Text))
 		}
 		if found, complete = r.cachedResults(recordID, head, from); complete {
 			break
@@ -333,7 +333,7 @@
 func (r *Repository) cachedResults(recordID string, head Head, from int) (found []Result, complete bool) {
 	size := 0
 	for position := from; position < head.Listed; position++ {
-		value, ok := r.cache.get(resultKey(recordID, position))
+		value, ok := r.cache.get(head.cacheKey(resultKey(recordID, position)))
 		if !ok {
 			return found, false
 		}
