--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -36,6 +36,16 @@
 	qt.Assert(t, decoded, qt.DeepEquals, digest)
 }
 
+// TestLeavingMarkIsSmall bounds what a server that leaves adds to each status and digest.
+func TestLeavingMarkIsSmall(t *testing.T) {
+	without, err := encode(tagStatus, Status{VM: VMState{VMID: "front-a-1"}})
+	qt.Assert(t, err, qt.IsNil)
+	with, err := encode(tagStatus, Status{VM: VMState{VMID: "front-a-1"}, Leaving: []bergamotgrade.ServerProcess{{ServerID: "i-7f3a91c2", StartedAtMs: 1769837272006}}})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, len(with)-len(without) <= 24, qt.IsTrue, qt.Commentf("%d bytes", len(with)-len(without)))
+	t.Logf("%d bytes", len(with)-len(without))
+}
+
 // No datagram makes a VM panic, and whatever decodes can be applied.
 func FuzzDecode(f *testing.F) {
 	status, _ := encode(tagStatus, Status{VM: VMState{VMID: "vm"}, Load: []ServerLoad{{ServerID: "i"}}})
