The end of a stream is confirmed only after the same event; tests read their cases from files

A second server that has nothing confirms the end only if the first one had nothing after the same event: between them a third may have gone on (TestEndIsConfirmedAtItsEvent fails before).

--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -27,7 +27,7 @@
 
 func (s *selectorScript) step(f []string) string {
 	switch f[0] {
-	case "servers": // id@data-centre:slots[:draining] ...
+	case "servers": // id@data-centre:slots[:draining][:born=SECONDS] ...
 		s.selector.SetServers(s.now, parseServers(f[1:]))
 	case "wait":
 		d, _ := time.ParseDuration(f[1])
@@ -61,6 +61,21 @@
 			rates = append(rates, fmt.Sprintf("%s=%t/%g", rate.ServerID, rate.Named, rate.PerSecond))
 		}
 		return strings.Join(rates, " ")
+	case "leaves": // leaves id BORN: the server says that it leaves; heard-leaves: another VM says so
+		return s.markLeaving(f, true)
+	case "heard-leaves":
+		return s.markLeaving(f, false)
+	case "leaving": // the servers of which this VM tells the others that they leave
+		var ids []string
+		for _, process := range s.selector.LeavingServers(s.now) {
+			ids = append(ids, process.ServerID)
+		}
+		sort.Strings(ids)
+		return strings.Join(ids, " ")
+	case "marks": // the number of marks that are kept
+		return strconv.Itoa(len(s.selector.leaving))
+	case "usable": // whether any server takes requests
+		return strconv.FormatBool(s.selector.HasServer(bergamotgrade.ServerSet{Service: "svc"}))
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.selector.AddRequest(s.now, f[2], class(f[1]))
@@ -89,6 +104,15 @@
 	return ""
 }
 
+// markLeaving marks the process of a server and returns "known" if it was marked before.
+func (s *selectorScript) markLeaving(f []string, heardHere bool) string {
+	born, _ := strconv.ParseInt(f[2], 10, 64)
+	if !s.selector.MarkLeaving(s.now, bergamotgrade.ProcessOf(bergamotgrade.ServerRecord{ServerID: f[1], StartedAt: time.Unix(born, 0)}), heardHere) {
+		return "known"
+	}
+	return ""
+}
+
 // limits returns the limits of the given batch runs by the current excess.
 func (s *selectorScript) limits(fields []string) string {
 	var runs []bergamotgrade.BatchRuns
@@ -180,7 +204,12 @@
 		id, rest, _ := strings.Cut(field, "@")
 		parts := strings.Split(rest, ":")
 		slots, _ := strconv.Atoi(parts[1])
-		records[id] = bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: parts[0], Slots: slots, Draining: len(parts) > 2}
+		record := bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: parts[0], Slots: slots, Draining: len(parts) > 2 && parts[2] == "draining"}
+		if born, ok := strings.CutPrefix(parts[len(parts)-1], "born="); ok {
+			seconds, _ := strconv.ParseInt(born, 10, 64)
+			record.StartedAt = time.Unix(seconds, 0)
+		}
+		records[id] = record
 	}
 	return records
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -117,8 +117,8 @@
 	mediaType string
 	// events are those that were sent to the caller.
 	events *Sequence
-	// emptyServerID is the server that had no event where the next one was due; empty for none.
-	emptyServerID string
+	// emptyServerID is the server that had nothing after the event emptyAfter; empty for none.
+	emptyServerID, emptyAfter string
 	// bodyBegun is set once a part of a body that is no event stream was sent to the caller; no
 	// other answer can go on with it.
 	bodyBegun bool
@@ -221,6 +221,15 @@
 	return run.handle(ctx, slot, answer, err)
 }
 
+// isSuccess reports whether the answer is a server's success. Only 200 goes on with a response that has
+// begun.
+func (run *requestRun) isSuccess(answer *bergamotgrade.Answer) bool {
+	if run.headSent && answer.Status != http.StatusOK {
+		return false
+	}
+	return answer.Signed && answer.Status >= 200 && answer.Status < 300
+}
+
 // canRetry reports whether another server may run the request after the current
 // attempt.
 func (run *requestRun) canRetry() bool {
@@ -252,7 +261,7 @@
 	}
 	run.runs++
 	switch {
-	case answer.Status >= 200 && answer.Status < 300 && answer.Signed && (!run.headSent || answer.Status == http.StatusOK):
+	case run.isSuccess(answer):
 		err = run.forward(server, answer)
 	case answer.Status >= http.StatusInternalServerError && run.req.Repeatable && run.runs < run.req.MaxAttempts,
 		!answer.Signed, run.headSent,
@@ -390,8 +399,9 @@
 // confirmEnd reports whether a stream is complete after its last event: another server had nothing
 // to go on with either. One alone may be in trouble.
 func (run *requestRun) confirmEnd(server bergamotgrade.ServerRecord) bool {
-	confirmed := run.emptyServerID != "" && run.emptyServerID != server.ServerID
-	run.emptyServerID = server.ServerID
+	last := run.events.Last()
+	confirmed := run.emptyServerID != "" && run.emptyServerID != server.ServerID && run.emptyAfter == last
+	run.emptyServerID, run.emptyAfter = server.ServerID, last
 	return confirmed
 }
 
--- a/relay/resume_test.go
+++ b/relay/resume_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"regexp"
+	"strconv"
 	"strings"
 	"testing"
 
@@ -9,6 +12,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/scripttest"
 )
 
 // knownOrigins knows the same origin of all streams.
@@ -26,67 +30,76 @@
 	relay.origins = knownOrigins{bergamotgrade.OriginOf(bergamotgrade.ServerRecord{Service: "svc"})}
 }
 
-// notTheNextEvents holds what a server in trouble may send where event 3 of a stream is due.
-var notTheNextEvents = map[string]result{
-	"error status":                {status: 503, body: "busy"},
-	"error status, not signed":    {status: 500, body: "no", unsigned: true},
-	"client error":                {status: 400, body: "id: 3\ndata: bad request\n\n"},
-	"redirect":                    {status: 302, body: "id: 3\ndata: elsewhere\n\n"},
-	"other success":               {status: 206, body: formatEvents(3, 4)},
-	"nothing":                     {status: 200},
-	"no content":                  {status: 204},
-	"not signed":                  {status: 200, body: formatEvents(3, 4), unsigned: true},
-	"text":                        {status: 200, body: "overloaded"},
-	"lines of text":               {status: 200, body: "overloaded\n\ntry again\n\n"},
-	"JSON":                        {status: 200, body: `{"error":"overloaded"}` + "\n\n"},
-	"text like a field":           {status: 200, body: "error: overloaded\n\n"},
-	"head of an answer":           {status: 200, body: "HTTP/1.1 503 Busy\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nbusy"},
-	"head, then events":           {status: 200, body: "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n" + formatEvents(3, 4)},
-	"data without id":             {status: 200, body: "data: overloaded\n\n"},
-	"data without id, then more":  {status: 200, body: "data: overloaded\n\n" + formatEvents(3, 4)},
-	"error event":                 {status: 200, body: "event: error\ndata: overloaded\n\n"},
-	"named event without data":    {status: 200, body: "event: error\n\n"},
-	"comments only":               {status: 200, body: ": one\n\n: two\n\n"},
-	"first event again":           {status: 200, body: formatEvents(1, 4)},
-	"last event again":            {status: 200, body: formatEvents(2, 4)},
-	"event too far":               {status: 200, body: formatEvents(4, 4)},
-	"id that is no number":        {status: 200, body: "id: error\ndata: overloaded\n\n"},
-	"two ids":                     {status: 200, body: "id: 3\nid: 9\ndata: a\n\n"},
-	"empty id":                    {status: 200, body: "id:\ndata: overloaded\n\n"},
-	"half an event":               {status: 200, body: "id: 3\nda"},
-	"other type":                  {status: 200, body: formatEvents(3, 4), contentType: "application/json"},
-	"field name that begins data": {status: 200, body: "database: away\n\n"},
+// parseResult parses the words of a script: a status, and body=, type= or unsigned. In a body, \s stands
+// for a space and \n and \r for the ends of lines; EVENTS(from,to) stands for these events.
+func parseResult(words []string) result {
+	status, _ := strconv.Atoi(words[0])
+	parsed := result{status: status}
+	for _, word := range words[1:] {
+		name, value, _ := strings.Cut(word, "=")
+		switch name {
+		case "unsigned":
+			parsed.unsigned = true
+		case "type":
+			parsed.contentType = value
+		case "body":
+			value = eventsPattern.ReplaceAllStringFunc(value, func(match string) string {
+				var from, to int
+				_, _ = fmt.Sscanf(match, "EVENTS(%d,%d)", &from, &to)
+				return formatEvents(from, to)
+			})
+			parsed.body = strings.NewReplacer(`\s`, " ", `\n`, "\n", `\r`, "\r").Replace(value)
+		}
+	}
+	return parsed
 }
 
+var eventsPattern = regexp.MustCompile(`EVENTS\(\d+,\d+\)`)
+
 // TestOnlyTheNextEventsGoOnWithAStream guards against text of an error, or a whole head, in the
-// middle of a caller's stream, and against a stream that ends as if it were complete.
+// middle of a caller's stream, and against a stream that ends as if it were complete. Each step of the
+// scripts is what a server sends where event 3 of a stream is due.
 func TestOnlyTheNextEventsGoOnWithAStream(t *testing.T) {
-	for name, wrong := range notTheNextEvents {
-		t.Run(name, func(t *testing.T) {
-			relay, _ := newRelay(newScheduler("a", "b"), result{status: 200, body: formatEvents(1, 2), truncated: true}, wrong)
-			var out recorder
-			err := relay.Serve(context.Background(), newStreamRequest(true, 2), &out)
-			qt.Assert(t, errors.Is(err, ErrTruncated), qt.IsTrue, qt.Commentf("%v", err))
-			qt.Assert(t, out.body.String(), qt.Equals, formatEvents(1, 2))
-
-			relay, s := newRelay(newScheduler("a", "b", "c"), result{status: 200, body: formatEvents(1, 2), truncated: true}, wrong, result{status: 200, body: ": here\n\n" + formatEvents(3, 4)})
-			out = recorder{}
-			qt.Assert(t, relay.Serve(context.Background(), newStreamRequest(true, 3), &out), qt.IsNil)
-			qt.Assert(t, out.body.String(), qt.Equals, formatEvents(1, 4))
-			qt.Assert(t, s.attempts[2].ResumeAfter, qt.Equals, "2")
+	scripttest.Run(t, func() scripttest.Step { return goOnWith })
+}
 
-			// The caller itself takes the stream up, and no other server is asked.
-			relay, _ = newRelay(newScheduler("a", "b"), wrong)
-			request := newStreamRequest(true, 1)
+// goOnWith returns what callers get if the answer comes where event 3 of a stream is due: "broken" if the
+// stream is broken off after event 2, "whole" if it ends after event 4. A caller that takes the stream up
+// may also get the answer itself, as "answer".
+func goOnWith(words []string) string {
+	next := parseResult(words)
+	first := result{status: 200, body: formatEvents(1, 2), truncated: true}
+	serve := func(maxAttempts int, resumes bool, results ...result) (string, error) {
+		relay, _ := newRelay(newScheduler("a", "b", "c"), results...)
+		request := newStreamRequest(true, maxAttempts)
+		if resumes {
 			resumeAfter(relay, request, "2")
-			out = recorder{}
-			err = relay.Serve(context.Background(), request, &out)
-			if wrong.status >= 400 && wrong.status < 503 && !wrong.unsigned || wrong.status == 302 {
-				qt.Assert(t, err, qt.IsNil) // a server's own answer to this request
-				return
-			}
-			qt.Assert(t, err != nil || out.body.String() == formatEvents(3, 4), qt.IsTrue, qt.Commentf("%q", out.body.String()))
-		})
+		}
+		var out recorder
+		err := relay.Serve(context.Background(), request, &out)
+		return out.body.String(), err
+	}
+	// It is the second and last answer: no other server brings the rest.
+	body, err := serve(2, false, first, next)
+	outcome := fmt.Sprintf("%q %v", body, err)
+	switch {
+	case err == nil && body == formatEvents(1, 4):
+		outcome = "whole"
+	case errors.Is(err, ErrTruncated) && body == formatEvents(1, 2):
+		outcome = "broken"
+	}
+	// Another server brings the rest.
+	if body, err := serve(3, false, first, next, result{status: 200, body: ": here\n\n" + formatEvents(3, 4)}); err != nil || body != formatEvents(1, 4) {
+		return fmt.Sprintf("not mended: %q %v", body, err)
+	}
+	// The caller itself takes the stream up, and no other server is asked.
+	switch body, err := serve(1, true, next); {
+	case err == nil && body == formatEvents(3, 4), err != nil && body == "":
+		return outcome
+	case err == nil && body == next.body && next.status != 200:
+		return outcome + ", answer"
+	default:
+		return fmt.Sprintf("taken up: %q %v", body, err)
 	}
 }
 
@@ -113,6 +126,17 @@
 	}
 }
 
+// TestEndIsConfirmedAtItsEvent guards against an end that two servers confirm after different events.
+func TestEndIsConfirmedAtItsEvent(t *testing.T) {
+	relay, _ := newRelay(newScheduler("a", "b", "c", "d"),
+		result{status: 200, body: formatEvents(1, 2), truncated: true}, result{status: 200},
+		result{status: 200, body: formatEvents(3, 4), truncated: true}, result{status: 200})
+	var out recorder
+	err := relay.Serve(context.Background(), newStreamRequest(true, 4), &out)
+	qt.Assert(t, errors.Is(err, ErrTruncated), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, out.body.String(), qt.Equals, formatEvents(1, 4))
+}
+
 // TestGarbageAfterAnEvent guards against the same later in an answer.
 func TestGarbageAfterAnEvent(t *testing.T) {
 	for _, garbage := range []string{
