A datagram that claims a long list no longer ends a VM (found by fuzzing)

Cause: the MessagePack decoder allocates by the claimed length. Change: CheckMessagePack checks lengths and depth of a value before datagrams and stored jobs are decoded.

--- a/gossip/message.go
+++ b/gossip/message.go
@@ -172,6 +172,9 @@
 	default:
 		return nil, 0, errors.New("datagram holds no message of a known type")
 	}
+	if err := bergamotgrade.CheckMessagePack(data[1:]); err != nil {
+		return nil, 0, err
+	}
 	reader := bytes.NewReader(data[1:])
 	err = msgpack.NewDecoder(reader).Decode(message)
 	return message, len(data) - reader.Len(), err
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -130,7 +130,7 @@
 
 func decodeHead(entry bergamotgrade.Entry) (Head, error) {
 	var head Head
-	if err := msgpack.Unmarshal(entry.Value, &head); err != nil {
+	if err := unmarshal(entry.Value, &head); err != nil {
 		return Head{}, errors.Wrapf(err, "entry %s", entry.Key)
 	}
 	head.Revision = entry.Revision
@@ -161,6 +161,14 @@
 		data = append(data, part...)
 	}
 	var items []Item
-	err := msgpack.Unmarshal(data, &items)
+	err := unmarshal(data, &items)
 	return items, err
 }
+
+// unmarshal decodes a value of the store, whoever wrote it.
+func unmarshal(data []byte, value any) error {
+	if err := bergamotgrade.CheckMessagePack(data); err != nil {
+		return err
+	}
+	return msgpack.Unmarshal(data, value)
+}
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -299,7 +299,7 @@
 				continue // of a job whose id goes on with a slash
 			}
 			var result Result
-			if err := msgpack.Unmarshal(entry.Value, &result); err != nil {
+			if err := unmarshal(entry.Value, &result); err != nil {
 				return nil, err
 			}
 			r.cache.put(head.cacheKey(entry.Key), result, len(result.Text))
