--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -212,7 +212,7 @@
 // errUnprocessable is returned for a signed answer 422: no server can process the item.
 var errUnprocessable = errors.New("server cannot process the item")
 
-// attempt sends the item to the server, which resumes after lastEventID.
+// attempt sends the item to the server, which resumes after the last event received.
 func (i *ownedItem) attempt(ctx context.Context, server bergamotgrade.ServerRecord) (placement.Outcome, error) {
 	job := i.job
 	i.beginAttempt()
