Split five long files by moves alone

Cause: selector.go, scheduler.go, view.go, node.go of gossip and mirror.go hold several nouns each, and the parts for evacuation, cold servers, shares and speed would lengthen them. Change: declarations move to files of their own in the same package; no line changes but imports.

--- /dev/null
+++ b/entry/job_owner.go
@@ -0,0 +1,62 @@
+package entry
+
+import "github.com/cespare/xxhash/v2"
+
+// RunnerFor implements jobs.Fleet by rendezvous hashing over the live VMs. Disk VMs are
+// preferred, since VMs that take callers' requests have little CPU.
+func (v *view) RunnerFor(jobID string) (vmID string, incarnation int64) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	best := uint64(0)
+	for _, wantRunner := range []bool{true, false} {
+		consider := func(id string, processIncarnation int64, runner bool) {
+			if runner != wantRunner {
+				return
+			}
+			if score := xxhash.Sum64String(jobID + "/" + id); vmID == "" || score > best {
+				best, vmID, incarnation = score, id, processIncarnation
+			}
+		}
+		if !v.leaving {
+			consider(v.self, v.incarnation, !v.takesCallers)
+		}
+		now := v.clock.Now()
+		for id, p := range v.peers {
+			if p.listedWithin(now, peerTimeout) && !p.Leaving {
+				consider(id, p.Incarnation, p.Runner)
+			}
+		}
+		if vmID != "" {
+			return vmID, incarnation
+		}
+	}
+	return vmID, incarnation
+}
+
+// RunnerAlive implements jobs.Fleet. A process counts as dead if a newer process runs on
+// its VM, if it is leaving, or if its gossip has stopped and its lease has expired. Silence
+// alone does not count: two VMs that don't hear each other would take each other's jobs in
+// turn.
+func (v *view) RunnerAlive(vmID string, incarnation int64) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if vmID == v.self {
+		return incarnation == v.incarnation && !v.leaving
+	}
+	if vmID == "" {
+		return false
+	}
+	now := v.clock.Now()
+	p, found := v.peers[vmID]
+	if found && p.Incarnation > incarnation {
+		return false
+	}
+	if found && p.Incarnation == incarnation && p.listedWithin(now, peerTimeout) {
+		return !p.Leaving
+	}
+	if now.Sub(v.startedAt) < startupGrace {
+		return true
+	}
+	m, registered := v.members[vmID]
+	return registered && m.Incarnation == incarnation
+}
--- a/entry/view.go
+++ b/entry/view.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/json"
-	"fmt"
 	"log/slog"
 	"slices"
 	"sync"
@@ -23,18 +22,6 @@
 // memberPrefix is the prefix of the keys in the platform's store under which VMs register.
 const memberPrefix = "vm/"
 
-// member is the registration of a VM in the store.
-type member struct {
-	VMID         string `json:"vm_id"`
-	Incarnation  int64  `json:"incarnation"`
-	InnerAddress string `json:"inner_address"`
-	DataCentre   string `json:"data_centre"`
-	// Callers is set on VMs that take requests of callers.
-	Callers bool `json:"callers"`
-	// Cores is the VM's share of a core, or its number of cores.
-	Cores float64 `json:"cores,omitempty"`
-}
-
 // peer is the state of another VM by the last digest that lists it.
 type peer struct {
 	gossip.VMState
@@ -51,15 +38,6 @@
 	return p.listedWithin(now, watcherTimeout) && !p.Leaving && !p.StoreUnreachable
 }
 
-// copyID names a VM's copy of a prefix of the store.
-type copyID struct{ vmID, prefix string }
-
-// announcedCopy is the last announcement of a copy.
-type announcedCopy struct {
-	position follow.Position
-	upToDate time.Time
-}
-
 // view holds the configuration in force, the registrations and gossiped states of the
 // other VMs, and the rate limiter that depends on them.
 type view struct {
@@ -327,134 +305,6 @@
 	return counts
 }
 
-// copySources returns the inner addresses of up to maxSources live peers. Peers with a
-// newer configuration than this VM come first.
-func (v *view) copySources(maxSources int) []string {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	own := int64(0)
-	if v.configuration != nil {
-		own = v.configuration.Version
-	}
-	now := v.clock.Now()
-	var newer, others []string
-	for id, p := range v.peers {
-		m, ok := v.members[id]
-		if !ok || !p.listedWithin(now, peerTimeout) {
-			continue
-		}
-		if p.Version > own {
-			newer = append(newer, m.InnerAddress)
-		} else {
-			others = append(others, m.InnerAddress)
-		}
-	}
-	sources := append(newer, others...)
-	return sources[:min(maxSources, len(sources))]
-}
-
-// storePeer returns the inner address of a VM that reaches the store. Rendezvous hashing
-// spreads the VMs over such peers. A VM that has just started and has received no gossip
-// message tries the registered VMs, a different one each second.
-func (v *view) storePeer() (address string, ok bool) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	now, best := v.clock.Now(), uint64(0)
-	if !v.seenSelf && len(v.peers) == 0 {
-		second := now.Unix()
-		for id, m := range v.members {
-			if score := xxhash.Sum64String(fmt.Sprint(second, "/", id)); !ok || score > best {
-				address, best, ok = m.InnerAddress, score, true
-			}
-		}
-		return address, ok
-	}
-	for id, p := range v.peers {
-		m, registered := v.members[id]
-		if !registered || !p.reachesStore(now) {
-			continue
-		}
-		if score := xxhash.Sum64String(v.self + "/" + id); !ok || score > best {
-			address, best, ok = m.InnerAddress, score, true
-		}
-	}
-	return address, ok
-}
-
-// sourceRole is the part of a VM in the spreading of the store's changes.
-type sourceRole int
-
-const (
-	// roleFollower is a VM that fetches from the relay of its data centre.
-	roleFollower sourceRole = iota
-	// roleRelay is the VM of a data centre that fetches from the watcher.
-	roleRelay
-	// roleWatcher is the VM of the fleet that watches the store.
-	roleWatcher
-)
-
-// source returns the VM from which this VM receives changes of the store; the id is empty
-// if it has to watch the store itself. The watcher is the first live VM that reaches the
-// store, the relay the first live VM of its data centre, in the order of their strength.
-func (v *view) source(dataCentre string, storeUnreachable bool) (vmID, address string, role sourceRole) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	own, registered := v.members[v.self]
-	if !registered {
-		own = member{VMID: v.self, DataCentre: dataCentre}
-	}
-	var watcher, relay member
-	if !storeUnreachable && !v.leaving {
-		watcher = own
-	}
-	if !v.leaving {
-		relay = own
-	}
-	now := v.clock.Now()
-	for id, p := range v.peers {
-		m, registered := v.members[id]
-		if !registered || p.Leaving || !p.listedWithin(now, watcherTimeout) {
-			continue
-		}
-		if !p.StoreUnreachable && m.precedes(watcher) {
-			watcher = m
-		}
-		if m.DataCentre == dataCentre && m.precedes(relay) {
-			relay = m
-		}
-	}
-	switch {
-	case watcher.VMID == v.self, watcher.VMID == "":
-		return "", "", roleWatcher
-	case relay.VMID == v.self, relay.VMID == "":
-		return watcher.VMID, watcher.InnerAddress, roleRelay
-	}
-	return relay.VMID, relay.InnerAddress, roleFollower
-}
-
-// precedes reports whether the VM comes before the other as watcher and relay: the stronger
-// one, and among equals the one with the lower hash.
-func (m member) precedes(other member) bool {
-	switch {
-	case other.VMID == "":
-		return true
-	case m.Cores != other.Cores:
-		return m.Cores > other.Cores
-	}
-	return xxhash.Sum64String(m.VMID) < xxhash.Sum64String(other.VMID)
-}
-
-// announced returns the last announcement of the VM's copy of the prefix.
-func (v *view) announced(vmID, prefix string) (position follow.Position, age time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	copied, ok := v.copies[copyID{vmID, prefix}]
-	if !ok {
-		return follow.Position{}, 0
-	}
-	return copied.position, v.clock.Now().Sub(copied.upToDate)
-}
-
 // hearsOthers reports whether digests of hubs list other VMs.
 func (v *view) hearsOthers() bool {
 	v.mu.Lock()
@@ -487,65 +337,6 @@
 	v.limiter.SetLevels(v.clock.Now(), levels)
 }
 
-// RunnerFor implements jobs.Fleet by rendezvous hashing over the live VMs. Disk VMs are
-// preferred, since VMs that take callers' requests have little CPU.
-func (v *view) RunnerFor(jobID string) (vmID string, incarnation int64) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	best := uint64(0)
-	for _, wantRunner := range []bool{true, false} {
-		consider := func(id string, processIncarnation int64, runner bool) {
-			if runner != wantRunner {
-				return
-			}
-			if score := xxhash.Sum64String(jobID + "/" + id); vmID == "" || score > best {
-				best, vmID, incarnation = score, id, processIncarnation
-			}
-		}
-		if !v.leaving {
-			consider(v.self, v.incarnation, !v.takesCallers)
-		}
-		now := v.clock.Now()
-		for id, p := range v.peers {
-			if p.listedWithin(now, peerTimeout) && !p.Leaving {
-				consider(id, p.Incarnation, p.Runner)
-			}
-		}
-		if vmID != "" {
-			return vmID, incarnation
-		}
-	}
-	return vmID, incarnation
-}
-
-// RunnerAlive implements jobs.Fleet. A process counts as dead if a newer process runs on
-// its VM, if it is leaving, or if its gossip has stopped and its lease has expired. Silence
-// alone does not count: two VMs that don't hear each other would take each other's jobs in
-// turn.
-func (v *view) RunnerAlive(vmID string, incarnation int64) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if vmID == v.self {
-		return incarnation == v.incarnation && !v.leaving
-	}
-	if vmID == "" {
-		return false
-	}
-	now := v.clock.Now()
-	p, found := v.peers[vmID]
-	if found && p.Incarnation > incarnation {
-		return false
-	}
-	if found && p.Incarnation == incarnation && p.listedWithin(now, peerTimeout) {
-		return !p.Leaving
-	}
-	if now.Sub(v.startedAt) < startupGrace {
-		return true
-	}
-	m, registered := v.members[vmID]
-	return registered && m.Incarnation == incarnation
-}
-
 // configurationVersion returns the version of the configuration in force, or zero.
 func (v *view) configurationVersion() int64 {
 	if configuration := v.Configuration(); configuration != nil {
