--- a/attempt.go
+++ b/attempt.go
@@ -74,6 +74,10 @@
 	ServerLeaving bool
 	// RateLimit is the limit that the response names.
 	RateLimit RateLimit
+	// ColdRemaining is how much longer the server stays cold; it holds only if ColdNamed is set, which
+	// tells that the response says so.
+	ColdRemaining time.Duration
+	ColdNamed     bool
 	// Signed is set if the response carries the server's signature header.
 	Signed bool
 	// OnProgress is called by MadeProgress; it may be nil.
--- a/entry/node.go
+++ b/entry/node.go
@@ -300,6 +300,7 @@
 			n.invalidServers[key] = entry.Revision
 			continue
 		}
+		record.Region = n.settings.Regions[record.DataCentre]
 		records[record.ServerID] = record
 	}
 	maps.DeleteFunc(n.invalidServers, func(key string, _ int64) bool {
@@ -310,7 +311,9 @@
 	n.servers = records
 	n.mu.Unlock()
 	for id, record := range records {
-		if known, ok := before[id]; !ok || known != record {
+		known, ok := before[id]
+		known.ColdRemaining = record.ColdRemaining // changes with each heartbeat of a cold server
+		if !ok || known != record {
 			n.log.Info("backend server registered", "server", id, "service", record.Service, "address", record.Address, "version", record.SoftwareVersion, "draining", record.Draining, "started_at", record.StartedAt)
 		}
 	}
--- a/fleet.go
+++ b/fleet.go
@@ -60,6 +60,8 @@
 	// MaxWaitingTokens is the maximum sum of the tokens of one team's unfinished batch
 	// items; zero is unbounded.
 	MaxWaitingTokens int64
+	// Homes are the regions in which the route's requests may run.
+	Homes Homes
 }
 
 // Repeatable reports whether a request of the route may run more than once.
@@ -110,6 +112,23 @@
 	// Priority overrides the priority of the route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes are the regions in which the team's requests may run.
+	Homes Homes
+}
+
+// FleetService is a service that backend servers run.
+type FleetService struct {
+	Name string
+	// ColdStart is how long a server is cold after its start; zero if servers are never cold.
+	ColdStart time.Duration
+	// ColdPerSecond is the number of requests per second that a cold server tolerates from all VMs
+	// together; zero if servers are never cold.
+	ColdPerSecond float64
+	// HealthPath is the path of the servers' health check.
+	HealthPath string
+	// ConnectionCap is the number of connections that a server accepts from all VMs together; zero
+	// if it is not known.
+	ConnectionCap int
 }
 
 // CallerLimits are the limits on requests of callers; a zero field sets no limit.
@@ -130,8 +149,9 @@
 	Teams    map[string]FleetTeam
 	Limits   CallerLimits
 
-	routes map[string][]*FleetRoute
-	keys   map[string]string
+	services map[string]FleetService
+	routes   map[string][]*FleetRoute
+	keys     map[string]string
 }
 
 // NewFleetConfiguration returns a configuration with routes indexed by host. keys maps
@@ -157,6 +177,25 @@
 	return c
 }
 
+// SetServices sets the services; it may be called only before the configuration is in use.
+func (c *FleetConfiguration) SetServices(services []FleetService) {
+	c.services = make(map[string]FleetService, len(services))
+	for _, service := range services {
+		c.services[service.Name] = service
+	}
+}
+
+// Services returns the services by name; the map must not be changed.
+func (c *FleetConfiguration) Services() map[string]FleetService { return c.services }
+
+// Service returns the service of the name; an unknown one has only its name.
+func (c *FleetConfiguration) Service(name string) FleetService {
+	if service, ok := c.services[name]; ok {
+		return service
+	}
+	return FleetService{Name: name}
+}
+
 // Route returns the route of the host with the longest matching path prefix, or nil.
 func (c *FleetConfiguration) Route(host, path string) *FleetRoute {
 	host, _, _ = strings.Cut(strings.ToLower(host), ":")
@@ -195,6 +234,11 @@
 	Draining bool
 	// StartedAt distinguishes restarts that keep the ServerID; zero if unknown.
 	StartedAt time.Time
+	// Region is the region of the data centre; empty if unknown.
+	Region string
+	// ColdRemaining is how much longer the server stays cold, as of when it wrote the entry; zero if
+	// it is warm.
+	ColdRemaining time.Duration
 }
 
 // ServerProcess is one process of a backend server, which may start again under its id.
@@ -240,4 +284,12 @@
 	MemoryBytes int64
 	// Cores is the VM's share of a core, or its number of cores; zero if unknown.
 	Cores float64
+	// Region is the region of the VM, Regions the region of each data centre; empty if unknown.
+	Region  string
+	Regions map[string]string
+	// FileDescriptors is the process's limit on open descriptors; zero if unknown.
+	FileDescriptors int
+	// ColdOvershoot times the limit of a cold server is what it may get in one second; zero if
+	// unknown.
+	ColdOvershoot float64
 }
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -8,6 +8,8 @@
 	Service         string
 	SoftwareVersion string
 	OneVersion      bool
+	// Homes are the regions of the servers.
+	Homes Homes
 }
 
 // Includes reports whether the set includes the server.
