--- a/soak/checker.go
+++ b/soak/checker.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -220,7 +222,7 @@
 	}
 	c.checkVersions(engines)
 	counts, failures := map[string]int{}, map[string]int{}
-	var limited []time.Time
+	limited := firstRuns{}
 	for _, e := range engines {
 		for _, run := range e.Runs() {
 			counts[run.RequestID]++
@@ -229,7 +231,7 @@
 			}
 			c.checkRun(e, run, items[run.RequestID])
 			if run.Team == limitedTeam {
-				limited = append(limited, run.At)
+				limited.add(run)
 			}
 		}
 	}
@@ -293,9 +295,19 @@
 	}
 }
 
-// checkRate checks that the limited team's runs stay within its bound in every window.
-func (c *checker) checkRate(runs []time.Time) {
-	sort.Slice(runs, func(i, j int) bool { return runs[i].Before(runs[j]) })
+// firstRuns holds when the first run of each request began.
+type firstRuns map[string]time.Time
+
+func (f firstRuns) add(run standin.Run) {
+	if first, ok := f[run.RequestID]; !ok || run.At.Before(first) {
+		f[run.RequestID] = run.At
+	}
+}
+
+// checkRate checks that the limited team's requests stay within its bound in every window. A rate
+// limits requests, so one that runs again after a failure counts once.
+func (c *checker) checkRate(limited firstRuns) {
+	runs := slices.SortedFunc(maps.Values(limited), time.Time.Compare)
 	bound := int((limitedRate*rateWindow.Seconds()+limitedBurst)*(1+rateOvershoot)) + rateSlack
 	peak, peakEnd := 0, time.Time{}
 	for first, last := 0, 0; last < len(runs); last++ {
