Store: calls are suspended in an outage, and few VMs probe for its return

While no VM reaches the store, three VMs probe every 0.3 s, the others every 1.5 s and as soon as one reports its return.

--- a/entry/constants.go
+++ b/entry/constants.go
@@ -33,6 +33,10 @@
 	// longer reaches the store: changes must reach all VMs within two seconds.
 	probeInterval = 300 * time.Millisecond
 	probeTimeout  = 700 * time.Millisecond
+	// outageProbers is the number of VMs that probe the store every probeInterval while no VM reaches
+	// it; outageProbeInterval is the pause of all others. A VM that peers serve loses nothing meanwhile.
+	outageProbers       = 3
+	outageProbeInterval = 1500 * time.Millisecond
 	// maxCopyPeers bounds the number of peers that are asked for one copy.
 	maxCopyPeers = 3
 	// headFetchInterval is the shortest pause between two fetches of the heads of jobs, which
--- a/entry/node.go
+++ b/entry/node.go
@@ -456,14 +456,25 @@
 
 // runStoreProbe probes the store while this VM watches it or does not reach it. Other VMs
 // depend on a VM that watches, so it has to detect quickly that it no longer reaches the
-// store, and its announcements have to tell how recently it did. A VM that was cut off has
-// to detect quickly that it reaches the store again.
+// store, and its announcements have to tell how recently it did. In an outage few VMs probe
+// often; the others probe as soon as one of these reports the store's return.
 func (n *Node) runStoreProbe(ctx context.Context) {
+	var probedAt time.Time
+	peersReached := false
 	for bergamotgrade.Sleep(ctx, probeInterval) {
-		if !n.watchesStore() && !n.kv.Unreachable() {
+		before := n.kv.Unreachable()
+		if !n.watchesStore() && !before {
 			continue
 		}
-		before := n.kv.Unreachable()
+		if before {
+			peersReach := n.kv.PeersReach()
+			returned := peersReach && !peersReached
+			peersReached = peersReach
+			if pause := n.view.probePause(peersReach); !returned && n.clock.Now().Sub(probedAt) < pause {
+				continue
+			}
+		}
+		probedAt = n.clock.Now()
 		n.kv.Probe(ctx, n.membership.leaseID.Load(), probeTimeout)
 		if n.kv.Unreachable() != before {
 			n.announce() // other VMs choose their watcher by this state
--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// nextCallAt is the time of the next call while calls are suspended.
+	nextCallAt time.Time
 	// peersReachSince is since when other VMs have reached the store although calls fail here;
 	// zero while none does.
 	peersReachSince time.Time
@@ -178,7 +180,8 @@
 
 // callStore makes one call, through a peer while the store is unreachable from this VM,
 // else directly. A call that failed at the peer is only repeated directly if it
-// certainly had no effect on the store.
+// certainly had no effect on the store. In an outage that lasts, most calls are suspended:
+// they fail as not run.
 func callStore[A any](ctx context.Context, s *MonitoredStore, call func(kv bergamotgrade.KeyValue) (A, error)) (A, error) {
 	if s.Unreachable() {
 		if peer := s.peerStore(); peer != nil {
@@ -188,6 +191,10 @@
 			}
 		}
 	}
+	if err := s.suspended(); err != nil {
+		var none A
+		return none, err
+	}
 	answer, err := call(s.kv)
 	s.recordResult(ctx, err)
 	return answer, err
@@ -215,6 +222,9 @@
 
 // Changes implements bergamotgrade.KeyValue. It never goes through a peer.
 func (s *MonitoredStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bergamotgrade.KeyChange, int64, error) {
+	if err := s.suspended(); err != nil {
+		return nil, 0, err
+	}
 	changes, revision, err := s.kv.Changes(ctx, prefix, after, wait)
 	s.recordResult(ctx, err)
 	return changes, revision, err
