Rates: buckets start with a part of the tolerance if the whole fleet has just started

Change: a VM that hears that more than half of the registered VMs started within 3 s of it, and none earlier, starts its buckets with half of what the operator's quotaOvershoot and quotaSlack tolerate. A VM that restarts alone takes the levels of another VM, as before.

--- a/entry/node.go
+++ b/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/bergamotgrade/bergamotgrade/follow"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/jobs"
+	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/origin"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/platform"
@@ -74,7 +75,8 @@
 	}
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
-	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, log)
+	tolerance := limit.Tolerance{Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Slack: settings.RateSlack}
+	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, tolerance, log)
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
 	n.origins = origin.New(n.clock, n, log)
--- a/entry/store_probe_test.go
+++ b/entry/store_probe_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/limit"
 )
 
 // Guards against a fleet that probes a store in an outage with every VM, and against one in which no VM
@@ -21,7 +22,7 @@
 	}
 	often := 0
 	for _, id := range ids {
-		v := newView(bergamotgrade.SystemClock{}, id, 1, true, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		v := newView(bergamotgrade.SystemClock{}, id, 1, true, limit.Tolerance{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		qt.Check(t, v.probePause(false) < probeInterval, qt.IsTrue, qt.Commentf("VM that hears of no others"))
 		v.recordReport(reportOf(ids...))
 		if v.probePause(false) < probeInterval {
--- a/entry/view.go
+++ b/entry/view.go
@@ -56,15 +56,17 @@
 	limiter           *limit.FleetLimiter
 	leaving           bool
 	levelFetchClaimed bool
+	// startDecided is set once it is known whether all VMs have started together.
+	startDecided bool
 	// seenSelf is set once this VM has read its own registration from the store. It then
 	// knows all VMs that registered earlier, and VMs that register later know it.
 	seenSelf bool
 }
 
-func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, log *slog.Logger) *view {
+func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, tolerance limit.Tolerance, log *slog.Logger) *view {
 	return &view{
 		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log,
-		members: map[string]member{}, peers: map[string]peer{}, copies: map[copyID]announcedCopy{}, limiter: limit.NewFleetLimiter(),
+		members: map[string]member{}, peers: map[string]peer{}, copies: map[copyID]announcedCopy{}, limiter: limit.NewFleetLimiter(tolerance),
 	}
 }
 
@@ -231,6 +233,7 @@
 			v.peers[state.VMID] = peer{VMState: state, receivedAt: now}
 		}
 	}
+	v.decideStart(now)
 	for _, copied := range report.Copies {
 		position := follow.Position{Revision: copied.Revision, ChangedAt: copied.ChangedAt, ListedAt: copied.ListedAt}
 		id, upToDate := copyID{copied.VMID, copied.Prefix}, now.Add(-time.Duration(copied.AgeMs)*time.Millisecond)
--- a/fleet.go
+++ b/fleet.go
@@ -289,6 +289,10 @@
 	Regions map[string]string
 	// FileDescriptors is the process's limit on open descriptors; zero if unknown.
 	FileDescriptors int
+	// RateWindow is the time over which the requests of a team are counted; they may exceed what its
+	// limits allow by the fraction RateOvershoot and by RateSlack requests. Zero if unknown.
+	RateWindow               time.Duration
+	RateOvershoot, RateSlack float64
 	// ColdOvershoot times the limit of a cold server is what it may get in one second; zero if
 	// unknown.
 	ColdOvershoot float64
--- a/limit/fleet_limiter.go
+++ b/limit/fleet_limiter.go
@@ -28,7 +28,8 @@
 	// groups holds the other VMs by data centre.
 	groups map[string]*fleetGroup
 	// vmCount is the number of VMs that admit requests, this VM included.
-	vmCount int
+	vmCount   int
+	tolerance Tolerance
 	// appliedShare is the fraction of the limits that the buckets have now.
 	appliedShare float64
 }
@@ -87,8 +88,8 @@
 
 // NewFleetLimiter returns a limiter without peers. Its buckets start empty, because a
 // restarted VM has lost its counts of earlier requests.
-func NewFleetLimiter() *FleetLimiter {
-	return &FleetLimiter{teams: map[string]*fleetTeam{}, groups: map[string]*fleetGroup{}, vmCount: 1}
+func NewFleetLimiter(tolerance Tolerance) *FleetLimiter {
+	return &FleetLimiter{teams: map[string]*fleetTeam{}, groups: map[string]*fleetGroup{}, vmCount: 1, tolerance: tolerance}
 }
 
 // SetVMCount sets the number of VMs that admit requests, this VM included.
--- a/limit/fleet_limiter_test.go
+++ b/limit/fleet_limiter_test.go
@@ -23,6 +23,8 @@
 	networkGroup func(vm int) int
 	admittedAt   []time.Time
 	requests     int
+	// tolerance is that of the VMs that start from now on.
+	tolerance Tolerance
 }
 
 type simulatedVM struct {
@@ -47,7 +49,7 @@
 }
 
 func (m *fleetSimulation) restart(i int) {
-	limiter := NewFleetLimiter()
+	limiter := NewFleetLimiter(m.tolerance)
 	limiter.SetVMCount(m.now, len(m.vms))
 	limiter.SetTeams(m.now, map[string]bergamotgrade.FleetTeam{"team": m.team})
 	incarnation := int64(1)
@@ -98,6 +100,64 @@
 	return maxAdmitted
 }
 
+// operatorTolerance is the tolerance that the bound promised to users allows.
+var operatorTolerance = Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+
+// restartAll restarts all VMs, which are down for the time and restart with a tolerance.
+func (m *fleetSimulation) restartAll(down time.Duration, tolerance Tolerance) {
+	m.tolerance = tolerance
+	for at := range m.vms {
+		m.restart(at)
+		m.vms[at].downUntil = m.now.Add(down)
+		m.vms[at].limiter.GrantStart(m.now)
+	}
+}
+
+// TestFleetBoundAfterRestarts guards against buckets that start with so much that a team gets more than the
+// bound: all VMs restart again and again, single ones between, while the team sends seven times its rate.
+func TestFleetBoundAfterRestarts(t *testing.T) {
+	for seed := range uint64(20) {
+		m := newFleetSimulation(seed, 9)
+		limit := []float64{5, 36, 80}[seed%3]
+		m.team.Rate, m.team.Burst = limit, limit
+		for range 6000 {
+			switch m.random.IntN(800) {
+			case 0, 1:
+				m.restartAll(time.Second, operatorTolerance)
+			case 2, 3: // a VM that restarts alone is granted nothing
+				at := m.random.IntN(len(m.vms))
+				m.restart(at)
+				m.vms[at].downUntil = m.now.Add(time.Second)
+			}
+			m.step(7 * limit)
+		}
+		bound := 1.1*(m.team.Rate*5+m.team.Burst) + 20
+		qt.Assert(t, float64(m.maxAdmitted(5*time.Second)) <= bound, qt.IsTrue, qt.Commentf("seed %d: %d requests in 5 s, bound %.0f", seed, m.maxAdmitted(5*time.Second), bound))
+	}
+}
+
+// TestFleetServesAfterRestart guards against refusals within the rate right after all VMs have restarted. Load
+// pattern: a peak of 0.9 of a team's rate goes on while the whole fleet restarts.
+func TestFleetServesAfterRestart(t *testing.T) {
+	refused := map[Tolerance]int{}
+	for _, tolerance := range []Tolerance{{}, operatorTolerance} {
+		m := newFleetSimulation(3, 9)
+		for range 400 {
+			m.step(0)
+		}
+		m.restartAll(0, tolerance)
+		before := m.requests
+		admitted := len(m.admittedAt)
+		for range 400 {
+			m.step(0.9 * m.team.Rate)
+		}
+		refused[tolerance] = m.requests - before - (len(m.admittedAt) - admitted)
+	}
+	t.Logf("refused: %d with empty buckets, %d with a part of the tolerance", refused[Tolerance{}], refused[operatorTolerance])
+	qt.Check(t, refused[operatorTolerance], qt.Equals, 0)
+	qt.Check(t, refused[Tolerance{}] > 0, qt.IsTrue)
+}
+
 // TestFleetBound guards against over-admission while a team sends seven times its
 // rate and VMs are partitioned, killed and restarted. The bound promised to users
 // for any five seconds is 1.1 x (rate x 5 + burst) + 20.
@@ -162,7 +222,7 @@
 func TestFleetFirstCounts(t *testing.T) {
 	now := time.Unix(1000, 0)
 	team := bergamotgrade.FleetTeam{Name: "team", Rate: 100, Burst: 100}
-	f := NewFleetLimiter()
+	f := NewFleetLimiter(Tolerance{})
 	f.SetVMCount(now, 2)
 	f.SetTeams(now, map[string]bergamotgrade.FleetTeam{"team": team})
 	f.SetGroupCounts(now, "vm2", "vm2", 1, 1, map[string]int64{"team": 500}, false)
@@ -192,7 +252,7 @@
 func TestSecondReporterCountsNothingTwice(t *testing.T) {
 	now := time.Unix(1000, 0)
 	team := bergamotgrade.FleetTeam{Name: "team", Rate: 10, Burst: 10}
-	f := NewFleetLimiter()
+	f := NewFleetLimiter(Tolerance{})
 	f.SetVMCount(now, 2)
 	f.SetTeams(now, map[string]bergamotgrade.FleetTeam{"team": team})
 	f.SetGroupCounts(now, "there", "hub1", 1, 1, map[string]int64{"team": 0}, true)
@@ -221,7 +281,7 @@
 func TestLateCountsKeepBurst(t *testing.T) {
 	now := time.Unix(1000, 0)
 	team := bergamotgrade.FleetTeam{Name: "team", Rate: 1, Burst: 10}
-	f := NewFleetLimiter()
+	f := NewFleetLimiter(Tolerance{})
 	f.SetVMCount(now, 5)
 	f.SetTeams(now, map[string]bergamotgrade.FleetTeam{"team": team})
 	report := func(dataCentre string, count int64) {
