Placement: one function decides whether a server may get a request

Draining, refusals, named limits, ejection and avoided servers were tested in five places, and a request that held a slot was checked only for leaving, before its connection was dialled.

(*Selector).eligibility returns Eligible or the reason; Pick, HasServer, SlotUsage, ExpectedWait, the choice of home servers and the shares of limits call it. Slots of a process that has been replaced or is no longer registered are not used any more.

--- a/attempt.go
+++ b/attempt.go
@@ -33,16 +33,29 @@
 	// Repeatable marks a request that may run more than once; its attempts may use a
 	// connection that has been idle for long.
 	Repeatable bool
+	// MaySend is called right before the first byte is written, with the connection open; its error
+	// ends the attempt as not sent. It may be nil.
+	MaySend func() error
 }
 
 // ErrUnsendable is wrapped by the error of an attempt that cannot be written as one HTTP
 // request; it was not sent, and no server can run it.
 var ErrUnsendable = errors.New("the request cannot be written as one HTTP request")
 
-// ErrServerLeaving is wrapped by the error of an attempt that was not sent because its server has
-// said that it leaves.
+// ErrServerLeaving is wrapped by the error of an attempt that was not sent because its server leaves,
+// drains or is no longer registered.
 var ErrServerLeaving = errors.New("the server leaves")
 
+// ErrServerEvacuated is wrapped by the error of an attempt that was not sent because the data centre of
+// its server is evacuated.
+var ErrServerEvacuated = errors.New("the data centre of the server is evacuated")
+
+// IsServerIneligible reports whether the attempt was not sent because its server has become
+// ineligible, which is no failure of the server.
+func IsServerIneligible(err error) bool {
+	return errors.Is(err, ErrServerLeaving) || errors.Is(err, ErrServerEvacuated)
+}
+
 // RateLimit is the limit that a server names in an answer: the requests per second that it
 // takes from all VMs together.
 type RateLimit struct {
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -222,7 +222,7 @@
 		ResumeAfter: i.events.Last(), ResponseHeaderTimeout: firstEventTimeout, StallTimeout: stallTimeout, Repeatable: true,
 	})
 	switch {
-	case errors.Is(err, bergamotgrade.ErrUnsendable), errors.Is(err, bergamotgrade.ErrServerLeaving):
+	case errors.Is(err, bergamotgrade.ErrUnsendable), bergamotgrade.IsServerIneligible(err):
 		return placement.OutcomeAborted, err
 	case err != nil:
 		return placement.OutcomeFailed, err
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -25,7 +25,7 @@
 	mark := leavingMark{heardAt: now, heardHere: heardHere}
 	if s, ok := sel.servers[process.ServerID]; ok && bergamotgrade.ProcessOf(s.record) == process {
 		s.record.Draining = true
-		sel.chooseHome()
+		sel.chooseHome(now)
 		sel.shareRates(now)
 	} else {
 		mark.absentSince = now
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -62,10 +62,7 @@
 		var bestRank rank
 		for _, id := range sel.serverIDs {
 			s := sel.servers[id]
-			if !criteria.Servers.Includes(s.record) || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) {
-				continue
-			}
-			if !allowUnhealthy && (criteria.Avoid[id] || s.ejected(now)) {
+			if reason := sel.eligibility(now, s, criteria); reason != Eligible && !(allowUnhealthy && reason.isUnhealthy()) {
 				continue
 			}
 			r, ok := sel.rank(s, criteria)
@@ -86,8 +83,8 @@
 // anyHealthy reports whether the set has a server that is neither ejected nor
 // avoided, even if it has no free slot now.
 func (sel *Selector) anyHealthy(now time.Time, criteria Criteria) bool {
-	for id, s := range sel.servers {
-		if criteria.Servers.Includes(s.record) && !s.record.Draining && !criteria.Avoid[id] && !s.ejected(now) {
+	for _, s := range sel.servers {
+		if sel.isHealthy(now, s, criteria) {
 			return true
 		}
 	}
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -48,6 +48,8 @@
 	// batchStarts counts the batch runs that this VM has started since the last report.
 	batchStarts int
 	rate        serverRate
+	// holdsTooMuch is set while the server's requests hold too many bytes.
+	holdsTooMuch bool
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -80,6 +82,8 @@
 	leaving map[bergamotgrade.ServerProcess]leavingMark
 	// limitedShare holds the fraction of the servers of a service that name a limit.
 	limitedShare map[string]float64
+	// evacuated holds the data centres that the operator has evacuated.
+	evacuated map[string]bool
 }
 
 // NewSelector returns a selector without servers for the VM.
@@ -122,18 +126,18 @@
 		sel.serverIDs = append(sel.serverIDs, id)
 	}
 	sort.Strings(sel.serverIDs)
-	sel.chooseHome()
+	sel.chooseHome(now)
 	sel.sumPeers()
 	sel.shareRates(now)
 }
 
 // chooseHome marks the homeServers servers of each service in this data centre that this VM
 // uses first: those with the highest rendezvous hash scores.
-func (sel *Selector) chooseHome() {
+func (sel *Selector) chooseHome(now time.Time) {
 	scores := map[string][]uint64{}
 	score := func(s *serverState) uint64 { return xxhash.Sum64String(sel.vmID + "@" + s.record.ServerID) }
 	for _, s := range sel.servers {
-		if s.home = s.record.DataCentre == sel.dataCentre && !s.record.Draining; s.home {
+		if s.home = s.record.DataCentre == sel.dataCentre && sel.countsForItself(now, s); s.home {
 			scores[s.record.Service] = append(scores[s.record.Service], score(s))
 		}
 	}
@@ -149,16 +153,6 @@
 // all, this VM included.
 func (sel *Selector) SetRunners(local, all int) { sel.localRunners, sel.allRunners = local, all }
 
-// HasServer reports whether any server of the set accepts new requests.
-func (sel *Selector) HasServer(servers bergamotgrade.ServerSet) bool {
-	for _, s := range sel.servers {
-		if servers.Includes(s.record) && !s.record.Draining {
-			return true
-		}
-	}
-	return false
-}
-
 // Suspects returns the ids of the servers that are ejected because of failures that this
 // VM itself observed.
 func (sel *Selector) Suspects(now time.Time) []string {
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -75,7 +75,7 @@
 	case "marks": // the number of marks that are kept
 		return strconv.Itoa(len(s.selector.leaving))
 	case "usable": // whether any server takes requests
-		return strconv.FormatBool(s.selector.HasServer(bergamotgrade.ServerSet{Service: "svc"}))
+		return strconv.FormatBool(s.selector.HasServer(s.now, bergamotgrade.ServerSet{Service: "svc"}))
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.selector.AddRequest(s.now, f[2], class(f[1]))
@@ -99,7 +99,7 @@
 	case "expected": // expected AHEAD VMS: the expected wait
 		ahead, _ := strconv.Atoi(f[1])
 		vms, _ := strconv.Atoi(f[2])
-		return s.selector.ExpectedWait(bergamotgrade.ServerSet{Service: "svc"}, ahead, vms).Round(time.Millisecond).String()
+		return s.selector.ExpectedWait(s.now, bergamotgrade.ServerSet{Service: "svc"}, ahead, vms).Round(time.Millisecond).String()
 	}
 	return ""
 }
--- a/placement/server_rate.go
+++ b/placement/server_rate.go
@@ -124,7 +124,7 @@
 	bestScore := map[string]uint64{}
 	for _, id := range sel.serverIDs {
 		s := sel.servers[id]
-		if s.record.Draining {
+		if !sel.countsForItself(now, s) {
 			continue
 		}
 		service := s.record.Service
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -7,10 +7,10 @@
 )
 
 // SlotUsage returns the number of slots, and of requests of the class, at the servers of
-// the set that accept new requests.
-func (sel *Selector) SlotUsage(servers bergamotgrade.ServerSet, class Class) (slots, used int) {
+// the set that take requests now or will by themselves.
+func (sel *Selector) SlotUsage(now time.Time, servers bergamotgrade.ServerSet, class Class) (slots, used int) {
 	for _, s := range sel.servers {
-		if servers.Includes(s.record) && !s.record.Draining {
+		if sel.counts(now, s, servers) {
 			slots += s.record.Slots
 			used += s.load(class)
 		}
@@ -22,11 +22,11 @@
 // requests on this VM wait before it. It assumes that released slots are shared equally
 // by vms VMs, and adds this VM's shares of the limits that servers name. If the set has
 // neither it returns the mean run time.
-func (sel *Selector) ExpectedWait(servers bergamotgrade.ServerSet, ahead, vms int) time.Duration {
+func (sel *Selector) ExpectedWait(now time.Time, servers bergamotgrade.ServerSet, ahead, vms int) time.Duration {
 	slots, limited := 0, 0.0
 	for _, s := range sel.servers {
 		switch {
-		case !servers.Includes(s.record) || s.record.Draining:
+		case !sel.counts(now, s, servers):
 		case s.rate.limited:
 			limited += s.rate.bucket.Rate()
 		default:
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -42,7 +42,7 @@
 func (s *Scheduler) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	if !s.selector.HasServer(request.Servers) {
+	if !s.selector.HasServer(now, request.Servers) {
 		s.mu.Unlock()
 		return nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
@@ -57,8 +57,8 @@
 			return slot, nil
 		}
 	}
-	wait := s.selector.ExpectedWait(request.Servers, q.Len(), s.vms)
-	slots, used := s.selector.SlotUsage(request.Servers, placement.Online)
+	wait := s.selector.ExpectedWait(now, request.Servers, q.Len(), s.vms)
+	slots, used := s.selector.SlotUsage(now, request.Servers, placement.Online)
 	overloaded := overloadedError().WithRetryAt(now.Add(jitteredDelay(wait))).
 		WithCause(errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait))
 	if request.RejectIfLate && now.Add(wait).After(request.LatestStart) {
--- a/relay/exchanger.go
+++ b/relay/exchanger.go
@@ -4,8 +4,6 @@
 	"context"
 	"log/slog"
 
-	"github.com/cockroachdb/errors"
-
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
@@ -18,7 +16,8 @@
 
 // NewObservingExchanger returns an exchanger that exchanges through the given one and reports to
 // the scheduler what answers say of their servers: the limits that they name, and that they leave.
-// It sends nothing to a server that leaves.
+// It sends nothing to a server that has become ineligible since the request got its slot, also while
+// the connection was opened.
 func NewObservingExchanger(exchanger bergamotgrade.Exchanger, scheduler *Scheduler, log *slog.Logger) bergamotgrade.Exchanger {
 	return &observingExchanger{Exchanger: exchanger, scheduler: scheduler, log: log}
 }
@@ -26,9 +25,9 @@
 // Exchange implements bergamotgrade.Exchanger.
 func (e *observingExchanger) Exchange(ctx context.Context, server bergamotgrade.ServerRecord, attempt bergamotgrade.Attempt) (*bergamotgrade.Answer, error) {
 	process := bergamotgrade.ProcessOf(server)
-	if e.scheduler.IsLeaving(process) {
-		// It has said so since the request got its slot.
-		return nil, bergamotgrade.NotSent(errors.Wrapf(bergamotgrade.ErrServerLeaving, "server %s", server.ServerID))
+	attempt.MaySend = func() error { return e.scheduler.maySendTo(server) }
+	if err := attempt.MaySend(); err != nil {
+		return nil, bergamotgrade.NotSent(err)
 	}
 	answer, err := e.Exchanger.Exchange(ctx, server, attempt)
 	if err != nil {
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -247,7 +247,7 @@
 		var dispatch *bergamotgrade.DispatchError
 		if errors.As(err, &dispatch) && !dispatch.MaybeRan() {
 			outcome := placement.OutcomeFailed
-			if errors.Is(err, bergamotgrade.ErrServerLeaving) {
+			if bergamotgrade.IsServerIneligible(err) {
 				outcome = placement.OutcomeAborted
 			}
 			return run.handleNotRun(ctx, slot, outcome, err)
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -107,11 +107,11 @@
 	return s.selector.Suspects(s.clock.Now())
 }
 
-// HasServer reports whether any server of the set accepts new requests.
+// HasServer reports whether any server of the set takes requests now or will by itself.
 func (s *Scheduler) HasServer(servers bergamotgrade.ServerSet) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.selector.HasServer(servers)
+	return s.selector.HasServer(s.clock.Now(), servers)
 }
 
 // queue returns the queue for the servers. Streams that have begun wait in queues of their own,
@@ -176,7 +176,7 @@
 	started := false
 	for _, servers := range s.sortedQueues() {
 		q := s.queues[servers]
-		isGone := q.Len() > 0 && !s.selector.HasServer(servers)
+		isGone := q.Len() > 0 && !s.selector.HasServer(now, servers)
 		for {
 			item, expired := q.Peek(now)
 			for _, dropped := range expired {
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 )
@@ -23,6 +25,24 @@
 // Server returns the server that the slot belongs to.
 func (slot *Slot) Server() bergamotgrade.ServerRecord { return slot.server }
 
+// MaySend returns nil if the request that holds the slot may still be sent to its server. Otherwise
+// the server drains, leaves or is evacuated; the error wraps ErrServerLeaving or ErrServerEvacuated.
+func (s *Scheduler) MaySend(slot *Slot) error { return s.maySendTo(slot.server) }
+
+// maySendTo is MaySend for a request with a slot at the server.
+func (s *Scheduler) maySendTo(server bergamotgrade.ServerRecord) error {
+	s.mu.Lock()
+	reason := s.selector.MaySend(s.clock.Now(), server)
+	s.mu.Unlock()
+	switch reason {
+	case placement.Eligible:
+		return nil
+	case placement.Evacuated:
+		return errors.Wrapf(bergamotgrade.ErrServerEvacuated, "server %s", server.ServerID)
+	}
+	return errors.Wrapf(bergamotgrade.ErrServerLeaving, "server %s is %s", server.ServerID, reason)
+}
+
 // Release returns the slot and records the outcome; further calls have no effect.
 func (slot *Slot) Release(outcome placement.Outcome) {
 	slot.once.Do(func() { slot.scheduler.release(slot, outcome) })
