Evacuation of a data centre: nothing new is sent to its servers

The operator asks by op/evacuate/ZONE that nothing more be sent to the servers of a data centre; VMs ignored the key.

platform decodes the key, entry passes the set on with each change of its copy of op/, placement obeys in eligibility; waiting requests without a server left are refused at once, slots are checked again before bytes are sent. Two ways back to an older state are closed: a mirror could publish older entries after newer ones when a watch and a fetch from a peer met (the new test saw 2, 1), and a VM that started without the store took the copy of the first peer that answered instead of the newest one.

--- a/entry/node.go
+++ b/entry/node.go
@@ -56,6 +56,8 @@
 
 	mu      sync.Mutex
 	servers map[string]bergamotgrade.ServerRecord
+	// evacuated holds the revisions of the operator's requests by data centre.
+	evacuated map[string]int64
 	// retiring is set once the operator has ordered the retirement of this VM,
 	// retirementConfirmed once the confirmation is in the store.
 	retiring            bool
@@ -131,6 +133,7 @@
 	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
 	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { parts, _ := n.guard.Quarantined(); return int64(parts) })
 	n.metrics.Gauge("requests_quarantined", func() int64 { _, requests := n.guard.Quarantined(); return int64(requests) })
+	n.metrics.Gauge("evacuated_data_centres", n.evacuatedDataCentres)
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
@@ -239,9 +242,10 @@
 	}
 }
 
-// setOperatorEntries applies the configuration and the retirement order that the operator
-// has written to the store.
+// setOperatorEntries applies the configuration, the evacuations and the retirement order that the
+// operator has written to the store.
 func (n *Node) setOperatorEntries(entries map[string]bergamotgrade.Entry) {
+	n.setEvacuations(entries)
 	if entry, ok := entries[platform.ConfigurationKey]; ok {
 		n.view.setConfiguration(entry)
 		n.announce()
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -167,17 +168,47 @@
 			}
 		}
 	}
+	if than.Revision == 0 {
+		return n.newestCopy(ctx, prefix, sources)
+	}
 	for _, address := range sources {
-		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		copied, err := vm.Call[follow.Copy](callCtx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Than: than})
-		cancel()
-		if err == nil && copied.Revision > than.Revision {
+		if copied, ok := n.copyFromPeer(ctx, address, prefix, than); ok {
 			return copied, true
 		}
 	}
 	return follow.Copy{}, false
 }
 
+// copyFromPeer fetches a copy newer than the position; it returns false if the VM has none.
+func (n *Node) copyFromPeer(ctx context.Context, address, prefix string, than follow.Position) (follow.Copy, bool) {
+	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
+	defer cancel()
+	copied, err := n.CopyFrom(ctx, address, prefix, than)
+	return copied, err == nil && copied.Revision > than.Revision
+}
+
+// newestCopy asks all sources at once and returns the newest copy. A VM that starts has nothing with
+// which to tell an old copy from a new one, and it would bring back what the operator has withdrawn.
+func (n *Node) newestCopy(ctx context.Context, prefix string, sources []string) (newest follow.Copy, ok bool) {
+	copies := make(chan follow.Copy, len(sources))
+	var calls sync.WaitGroup
+	for _, address := range sources {
+		calls.Go(func() {
+			if copied, ok := n.copyFromPeer(ctx, address, prefix, follow.Position{}); ok {
+				copies <- copied
+			}
+		})
+	}
+	calls.Wait()
+	close(copies)
+	for copied := range copies {
+		if copied.Revision > newest.Revision {
+			newest, ok = copied, true
+		}
+	}
+	return newest, ok
+}
+
 // fetchBucketLevels fetches the levels of the teams' token buckets from a peer. It runs
 // once after the start, when this VM does not know of earlier requests.
 func (n *Node) fetchBucketLevels(vmID string) {
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -93,6 +93,10 @@
 	// the source may have one.
 	fetchRequested, announced chan struct{}
 
+	// publishing is held from the reading of the entries to the end of onChange, so that onChange never
+	// receives older entries after newer ones.
+	publishing sync.Mutex
+
 	mu       sync.Mutex
 	revision int64
 	entries  map[string]bergamotgrade.Entry
--- a/follow/mirror_entries.go
+++ b/follow/mirror_entries.go
@@ -103,6 +103,8 @@
 
 // publish passes all entries to onChange.
 func (m *Mirror) publish() {
+	m.publishing.Lock()
+	defer m.publishing.Unlock()
 	m.mu.Lock()
 	entries := make(map[string]bergamotgrade.Entry, len(m.entries))
 	for key, entry := range m.entries {
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -525,3 +525,33 @@
 	qt.Assert(t, m.hasPendingRemoval(expired.Key), qt.IsFalse)
 	qt.Assert(t, m.keys(), qt.HasLen, 1)
 }
+
+// TestEntriesAreNeverPublishedOutOfOrder guards against a VM that acts on older entries after newer
+// ones, when a watch and a fetch from a peer change the copy at the same time: an evacuation would end
+// although the operator has not withdrawn it.
+func TestEntriesAreNeverPublishedOutOfOrder(t *testing.T) {
+	var mu sync.Mutex
+	var published []int
+	begun := make(chan struct{})
+	onChange := func(entries map[string]bergamotgrade.Entry) {
+		if len(entries) == 1 {
+			close(begun)
+			time.Sleep(50 * time.Millisecond) // a slow receiver of the older entries
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		published = append(published, len(entries))
+	}
+	kv := NewMonitoredStore(standin.NewStore(bergamotgrade.SystemClock{}), bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	m := NewMirror(kv, bergamotgrade.SystemClock{}, "op/", StartAtOnce, 0, ShortWatchWait, &testPeers{}, onChange, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	one := bergamotgrade.Entry{Key: "op/config", Revision: 1}
+	two := bergamotgrade.Entry{Key: "op/evacuate/dc1", Revision: 2}
+	var publishing sync.WaitGroup
+	publishing.Go(func() {
+		m.applyCopy(Copy{Revision: 1, Keys: []string{one.Key}, Entries: []bergamotgrade.Entry{one}}, m.dropEntry)
+	})
+	<-begun
+	m.applyCopy(Copy{Revision: 2, Keys: []string{one.Key, two.Key}, Entries: []bergamotgrade.Entry{one, two}}, m.dropEntry)
+	publishing.Wait()
+	qt.Assert(t, published, qt.DeepEquals, []int{1, 2})
+}
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -74,6 +74,14 @@
 		return strings.Join(ids, " ")
 	case "marks": // the number of marks that are kept
 		return strconv.Itoa(len(s.selector.leaving))
+	case "evacuate": // evacuate DATA-CENTRE ...: the data centres that are evacuated now
+		evacuated := map[string]bool{}
+		for _, dataCentre := range f[1:] {
+			evacuated[dataCentre] = true
+		}
+		s.selector.SetEvacuated(s.now, evacuated)
+	case "send": // send id: whether a request with a slot at the server may be sent
+		return s.selector.MaySend(s.now, s.selector.servers[f[1]].record).String()
 	case "usable": // whether any server takes requests
 		return strconv.FormatBool(s.selector.HasServer(s.now, bergamotgrade.ServerSet{Service: "svc"}))
 	case "start": // start CLASS id [count]
--- a/relay/server_report.go
+++ b/relay/server_report.go
@@ -55,6 +55,15 @@
 	return marked
 }
 
+// SetEvacuated replaces the evacuated data centres: nothing new goes to their servers. Requests that
+// wait for these alone are refused.
+func (s *Scheduler) SetEvacuated(dataCentres map[string]bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.SetEvacuated(s.clock.Now(), dataCentres)
+	s.schedule()
+}
+
 // IsLeaving reports whether the process of the server has said that it leaves.
 func (s *Scheduler) IsLeaving(process bergamotgrade.ServerProcess) bool {
 	s.mu.Lock()
