--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -74,8 +74,16 @@
 		return strings.Join(ids, " ")
 	case "marks": // the number of marks that are kept
 		return strconv.Itoa(len(s.selector.leaving))
+	case "evacuate": // evacuate DATA-CENTRE ...: the data centres that are evacuated now
+		evacuated := map[string]bool{}
+		for _, dataCentre := range f[1:] {
+			evacuated[dataCentre] = true
+		}
+		s.selector.SetEvacuated(s.now, evacuated)
+	case "send": // send id: whether a request with a slot at the server may be sent
+		return s.selector.MaySend(s.now, s.selector.servers[f[1]].record).String()
 	case "usable": // whether any server takes requests
-		return strconv.FormatBool(s.selector.HasServer(bergamotgrade.ServerSet{Service: "svc"}))
+		return strconv.FormatBool(s.selector.HasServer(s.now, bergamotgrade.ServerSet{Service: "svc"}))
 	case "start": // start CLASS id [count]
 		for range count(f) {
 			s.selector.AddRequest(s.now, f[2], class(f[1]))
@@ -99,7 +107,7 @@
 	case "expected": // expected AHEAD VMS: the expected wait
 		ahead, _ := strconv.Atoi(f[1])
 		vms, _ := strconv.Atoi(f[2])
-		return s.selector.ExpectedWait(bergamotgrade.ServerSet{Service: "svc"}, ahead, vms).Round(time.Millisecond).String()
+		return s.selector.ExpectedWait(s.now, bergamotgrade.ServerSet{Service: "svc"}, ahead, vms).Round(time.Millisecond).String()
 	}
 	return ""
 }
