Cold servers: all VMs together keep the bound by shares

A cold server ends above its bound; 33 requests reached one in a second when 18 of 71 came back cold at a peak (bound 30.5).

Buckets start empty; VMs that are no longer registered keep their share for 20 s; a VM that has just learned of the others waits for a second. Cold servers come after warm ones, take no batch items while one is warm, and are released within 400 ms at moments that differ by VM. Requests that do not fit are refused at once; Retry-After goes by the rates of all VMs and the end of the cold time. entry passes services and registered VMs on, logs changes, and counts cold_servers and refused_cold. An item keeps its output while no server of its service is left. The stand-in engine counts what reaches it while it is cold, and the soak has evacuations and cold engines.

--- a/entry/constants.go
+++ b/entry/constants.go
@@ -18,6 +18,8 @@
 	startupGrace = 2 * time.Second
 	// maintenanceInterval is the pause between two maintenance rounds.
 	maintenanceInterval = 500 * time.Millisecond
+	// maxColdLines bounds the log lines about cold servers of one maintenance round.
+	maxColdLines = 20
 	// pruneInterval is the pause between two checks for idle connections to backend
 	// servers.
 	pruneInterval = 5 * time.Second
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -31,6 +31,9 @@
 	// started holds all VMs that were started.
 	started []*testNode
 	version int
+	// coldStart and coldPerSecond are those of the next configuration.
+	coldStart     time.Duration
+	coldPerSecond float64
 }
 
 // testNode is one running VM.
@@ -74,7 +77,9 @@
 // configure writes a new configuration in which the keys belong to one team.
 func (f *testFleet) configure(keys ...string) {
 	f.version += 3
-	write, err := standin.NewConfiguration(f.version, "svc", keys...).Write()
+	configuration := standin.NewConfiguration(f.version, "svc", keys...)
+	configuration.ColdStart, configuration.ColdPerSecond = f.coldStart, f.coldPerSecond
+	write, err := configuration.Write()
 	qt.Assert(f.t, err, qt.IsNil)
 	f.write(write)
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -134,6 +134,7 @@
 	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { parts, _ := n.guard.Quarantined(); return int64(parts) })
 	n.metrics.Gauge("requests_quarantined", func() int64 { _, requests := n.guard.Quarantined(); return int64(requests) })
 	n.metrics.Gauge("evacuated_data_centres", n.evacuatedDataCentres)
+	n.metrics.Gauge("cold_servers", func() int64 { return int64(n.scheduler.ColdServers()) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
@@ -248,6 +249,7 @@
 	n.setEvacuations(entries)
 	if entry, ok := entries[platform.ConfigurationKey]; ok {
 		n.view.setConfiguration(entry)
+		n.setServices()
 		n.announce()
 	}
 	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; ok {
@@ -316,7 +318,7 @@
 	n.mu.Unlock()
 	for id, record := range records {
 		known, ok := before[id]
-		known.ColdRemaining = record.ColdRemaining // changes with each heartbeat of a cold server
+		known.ColdRemaining, known.ColdNamed = record.ColdRemaining, record.ColdNamed // changes with each heartbeat of a cold server
 		if !ok || known != record {
 			n.log.Info("backend server registered", "server", id, "service", record.Service, "address", record.Address, "version", record.SoftwareVersion, "draining", record.Draining, "started_at", record.StartedAt)
 		}
@@ -338,6 +340,7 @@
 
 func (n *Node) setMembers(entries map[string]bergamotgrade.Entry) {
 	n.view.setMembers(entries)
+	n.setRegistered()
 	n.gossip.SetPeers(n.view.gossipPeers())
 	n.announce()
 	n.runner.Wake()
@@ -488,6 +491,7 @@
 		case <-ticker.C:
 		}
 		n.scheduler.ExpirePeers()
+		n.logCold()
 		n.confirmRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
--- a/entry/view.go
+++ b/entry/view.go
@@ -281,6 +281,23 @@
 	return callers, runners
 }
 
+// registeredVMs returns the ids of the registered VMs that take callers' requests, and of those that
+// only run batch items, in order.
+func (v *view) registeredVMs() (callers, runners []string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for id, m := range v.members {
+		if m.Callers {
+			callers = append(callers, id)
+		} else {
+			runners = append(runners, id)
+		}
+	}
+	slices.Sort(callers)
+	slices.Sort(runners)
+	return callers, runners
+}
+
 // countVMs counts the live VMs, this VM included. The caller holds the lock.
 func (v *view) countVMs(now time.Time) (counts relay.VMCounts) {
 	counts.Callers = 1
--- a/fleet.go
+++ b/fleet.go
@@ -237,8 +237,9 @@
 	// Region is the region of the data centre; empty if unknown.
 	Region string
 	// ColdRemaining is how much longer the server stays cold, as of when it wrote the entry; zero if
-	// it is warm.
+	// it is warm. It holds only if ColdNamed is set, which tells that the entry says so.
 	ColdRemaining time.Duration
+	ColdNamed     bool
 }
 
 // ServerProcess is one process of a backend server, which may start again under its id.
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -65,10 +65,14 @@
 	if i.running || i.origin.IsZero() || servers.Service == service && i.job.runner.scheduler.HasServer(servers) {
 		return servers
 	}
+	anew := bergamotgrade.ServerSet{Service: service}
+	if !i.job.runner.scheduler.HasServer(anew) {
+		return servers // as while all data centres of the service are evacuated
+	}
 	i.job.runner.log.Info("item starts anew; no server of the software that began its output is left", "job", i.job.id, "item", i.item.ItemID,
 		"version", i.origin.SoftwareVersion, "service", i.origin.Service, "last_event_id", i.events.Last())
 	i.clearText()
-	return bergamotgrade.ServerSet{Service: service}
+	return anew
 }
 
 // clearText drops the output received so far. The caller holds the job's lock.
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -37,6 +37,23 @@
 	// and batchRateBurst the number of requests that these may send at once.
 	batchRateFraction = 1.0 / 3
 	batchRateBurst    = 2
+	// coldRelease is the time after the end of a server's cold period in which the VMs start to use it,
+	// one after the other. Status is up to 0.1 s old, so that each sees the load of those before it.
+	coldRelease = 400 * time.Millisecond
+	// maxEntryAge is the age that a registry entry may have when it is read: it is written every 1.2 s,
+	// and known to all VMs within two seconds. An answer counts for more for that time.
+	maxEntryAge = 3 * time.Second
+	// registeredRetention is how long a VM that is no longer registered keeps its share of cold servers.
+	// VMs are cut off from the store for up to 9 s, and their registrations end after 4 s.
+	registeredRetention = 20 * time.Second
+	// coldSettle is how long a VM that has just learned of the registered VMs uses no share: until then
+	// the others do not know of it, and the VMs that start with it are not all registered.
+	coldSettle = time.Second
+	// coldBatchFraction is the fraction of a share that batch items may use at a VM that also takes
+	// callers' requests.
+	coldBatchFraction = 1.0 / 8
+	// defaultColdOvershoot applies if the settings name none.
+	defaultColdOvershoot = 1.5
 	// homeServers is the number of servers that a VM uses first.
 	homeServers = 4
 	// loadStep is the number of requests by which the loads of other servers are rounded.
--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -63,10 +63,21 @@
 		return Refusing
 	case !s.rate.hasToken(now):
 		return Limited
+	case sel.isCold(now, s) && !sel.mayUseCold(now, s, criteria.Class):
+		return Cold
 	}
 	return sel.health(now, s, criteria)
 }
 
+// mayUseCold reports whether the cold server may get a request of the class from this VM. No batch item
+// starts there while the service has a warm server.
+func (sel *Selector) mayUseCold(now time.Time, s *serverState, class Class) bool {
+	if class == Batch && sel.hasWarm(now, s.record.Service) {
+		return false
+	}
+	return s.cold.share.hasToken(now, class)
+}
+
 // health returns Ejected, Avoided or Eligible.
 func (sel *Selector) health(now time.Time, s *serverState, criteria Criteria) Eligibility {
 	switch {
@@ -117,9 +128,19 @@
 	return Eligible
 }
 
-// SetEvacuated replaces the evacuated data centres: their servers get nothing more.
+// SetEvacuated replaces the evacuated data centres: their servers get nothing more. The servers of those
+// that return count as cold from now on, for as long as after a start.
 func (sel *Selector) SetEvacuated(now time.Time, dataCentres map[string]bool) {
+	for dataCentre := range sel.evacuated {
+		if !dataCentres[dataCentre] {
+			sel.returnedAt[dataCentre] = now
+		}
+	}
 	sel.evacuated = dataCentres
+	sel.forgetWarm()
+	for _, s := range sel.servers {
+		sel.updateCold(now, s)
+	}
 	sel.chooseHome(now)
 	sel.shareRates(now)
 }
--- a/placement/leaving.go
+++ b/placement/leaving.go
@@ -25,6 +25,7 @@
 	mark := leavingMark{heardAt: now, heardHere: heardHere}
 	if s, ok := sel.servers[process.ServerID]; ok && bergamotgrade.ProcessOf(s.record) == process {
 		s.record.Draining = true
+		sel.forgetWarm()
 		sel.chooseHome(now)
 		sel.shareRates(now)
 	} else {
--- a/placement/peer_report.go
+++ b/placement/peer_report.go
@@ -36,6 +36,7 @@
 	}
 	sel.expireRates(now)
 	sel.expireMarks(now)
+	sel.expireCold(now)
 }
 
 // sumPeers recomputes the peer counts of all servers.
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -32,7 +32,7 @@
 
 // The tiers: free slots before slots that have to be taken from batch runs, home servers
 // before others of the data centre, and these before those elsewhere. Servers that name a limit
-// come first for batch, and for online requests after the free slots of the others.
+// come first for batch, and like cold ones for online requests after the free slots of the others.
 const (
 	tierBatchLimited tier = iota - 1
 	tierHomeFree
@@ -65,7 +65,7 @@
 			if reason := sel.eligibility(now, s, criteria); reason != Eligible && !(allowUnhealthy && reason.isUnhealthy()) {
 				continue
 			}
-			r, ok := sel.rank(s, criteria)
+			r, ok := sel.rank(now, s, criteria)
 			if ok && (best == nil || r.less(bestRank)) {
 				best, bestRank = s, r
 			}
@@ -96,7 +96,7 @@
 // the server with the least load, the requests of that time would all go there and wait in
 // its queue. Therefore each VM uses few servers first, which also keeps connections in use,
 // and among the others it goes by load in steps of several requests.
-func (sel *Selector) rank(s *serverState, criteria Criteria) (rank, bool) {
+func (sel *Selector) rank(now time.Time, s *serverState, criteria Criteria) (rank, bool) {
 	r := rank{tie: bergamotgrade.MixHash(criteria.Hash ^ xxhash.Sum64String(s.record.ServerID))}
 	load := s.total()
 	switch {
@@ -114,7 +114,7 @@
 	switch {
 	case s.rate.limited && criteria.Class == Batch:
 		r.tier = tierBatchLimited
-	case s.rate.limited && r.tier == tierHomeFree:
+	case (s.rate.limited || sel.isCold(now, s)) && r.tier == tierHomeFree:
 		r.tier = tierLimited
 	case s.home:
 	case s.record.DataCentre == sel.dataCentre:
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -50,6 +50,7 @@
 	rate        serverRate
 	// holdsTooMuch is set while the server's requests hold too many bytes.
 	holdsTooMuch bool
+	cold         coldState
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -84,11 +85,32 @@
 	limitedShare map[string]float64
 	// evacuated holds the data centres that the operator has evacuated.
 	evacuated map[string]bool
+	// returnedAt holds when this VM learned that the evacuation of a data centre was withdrawn.
+	returnedAt map[string]time.Time
+	// services holds the configured services by name.
+	services      map[string]bergamotgrade.FleetService
+	coldOvershoot float64
+	// listed is set after the first listing of servers. coldServers is the number of cold ones.
+	listed      bool
+	coldServers int
+	// registered holds the VMs that share the bounds of cold servers by id, coldCallers and coldRunners
+	// their ids; registeredAt is when this VM first learned of them.
+	registered               map[string]registeredVM
+	coldCallers, coldRunners []string
+	registeredAt             time.Time
+	// shareAt is when the shares of cold servers change without a message; zero for never.
+	shareAt time.Time
+	// warmServices holds the services with a warm server as of warmAt; nil if it is to be computed.
+	warmServices map[string]bool
+	warmAt       time.Time
 }
 
 // NewSelector returns a selector without servers for the VM.
 func NewSelector(vmID, dataCentre string) *Selector {
-	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{}}
+	return &Selector{
+		registered: map[string]registeredVM{}, returnedAt: map[string]time.Time{}, coldOvershoot: defaultColdOvershoot,
+		vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{},
+	}
 }
 
 // SetServers replaces the server records at the time now. A server without a record gets no new requests
@@ -98,9 +120,12 @@
 		server, ok := sel.servers[id]
 		if !ok {
 			sel.servers[id] = &serverState{record: record}
+			sel.readEntry(now, sel.servers[id], record, true)
 			continue
 		}
-		if server.record.Address != record.Address || !server.record.StartedAt.Equal(record.StartedAt) {
+		before := server.record
+		isNew := before.Address != record.Address || !before.StartedAt.Equal(record.StartedAt)
+		if isNew {
 			// What came before the server's restart says nothing about the new process.
 			if !server.rate.heardAt.IsZero() {
 				server.rate = serverRate{}
@@ -109,7 +134,10 @@
 			server.failures, server.ejections, server.ejectedUntil = 0, 0, time.Time{}
 		}
 		server.record = record
+		sel.readEntry(now, server, before, isNew)
 	}
+	sel.listed = true
+	sel.forgetWarm()
 	sel.applyMarks(now, records)
 	sel.serverIDs = sel.serverIDs[:0]
 	for id, server := range sel.servers {
@@ -119,6 +147,9 @@
 				if !server.rate.heardAt.IsZero() {
 					sel.rated--
 				}
+				if server.cold.isCold {
+					sel.coldServers--
+				}
 				delete(sel.servers, id)
 				continue
 			}
@@ -137,7 +168,7 @@
 	scores := map[string][]uint64{}
 	score := func(s *serverState) uint64 { return xxhash.Sum64String(sel.vmID + "@" + s.record.ServerID) }
 	for _, s := range sel.servers {
-		if s.home = s.record.DataCentre == sel.dataCentre && sel.countsForItself(now, s); s.home {
+		if s.home = s.record.DataCentre == sel.dataCentre && !sel.isCold(now, s) && sel.countsForItself(now, s); s.home {
 			scores[s.record.Service] = append(scores[s.record.Service], score(s))
 		}
 	}
@@ -190,6 +221,9 @@
 		if s.rate.limited {
 			s.rate.bucket.Spend(now, 1)
 		}
+		if sel.isCold(now, s) {
+			s.cold.share.spend(now, class)
+		}
 		s.ownLoad[class]++
 		if class == Batch {
 			s.batchStarts++
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -27,7 +27,7 @@
 
 func (s *selectorScript) step(f []string) string {
 	switch f[0] {
-	case "servers": // id@data-centre:slots[:draining][:born=SECONDS] ...
+	case "servers": // id@data-centre:slots[:draining][:cold=TIME][:born=SECONDS] ...; cold=0s: warm
 		s.selector.SetServers(s.now, parseServers(f[1:]))
 	case "wait":
 		d, _ := time.ParseDuration(f[1])
@@ -82,6 +82,30 @@
 		s.selector.SetEvacuated(s.now, evacuated)
 	case "send": // send id: whether a request with a slot at the server may be sent
 		return s.selector.MaySend(s.now, s.selector.servers[f[1]].record).String()
+	case "services": // services COLD-START COLD-PER-SECOND
+		coldStart, _ := time.ParseDuration(f[1])
+		perSecond, _ := strconv.ParseFloat(f[2], 64)
+		s.selector.SetServices(s.now, map[string]bergamotgrade.FleetService{"svc": {Name: "svc", ColdStart: coldStart, ColdPerSecond: perSecond}}, 1.5)
+	case "registered": // registered CALLER ... + RUNNER ...: the registered VMs
+		callers, runners, _ := strings.Cut(strings.Join(f[1:], " "), "+")
+		s.selector.SetRegistered(s.now, strings.Fields(callers), strings.Fields(runners))
+	case "remaining": // remaining id TIME: an answer of the server says how long it stays cold
+		remaining, _ := time.ParseDuration(f[2])
+		s.selector.ObserveCold(s.now, s.selector.servers[f[1]].record, remaining)
+	case "cold": // the servers that have become cold or warm since the last call
+		changes := []string{}
+		for _, change := range s.selector.ColdChanges(s.now) {
+			changes = append(changes, fmt.Sprintf("%s=%t", change.ServerID, change.IsCold))
+		}
+		return strings.Join(append(changes, fmt.Sprint(s.selector.ColdServers())), " ")
+	case "cold-wait": // cold-wait AHEAD VMS: after what time there is capacity
+		ahead, _ := strconv.Atoi(f[1])
+		vms, _ := strconv.Atoi(f[2])
+		wait, ok := s.selector.ColdWait(s.now, bergamotgrade.ServerSet{Service: "svc"}, ahead, vms)
+		if !ok {
+			return "none"
+		}
+		return wait.Round(10 * time.Millisecond).String()
 	case "usable": // whether any server takes requests
 		return strconv.FormatBool(s.selector.HasServer(s.now, bergamotgrade.ServerSet{Service: "svc"}))
 	case "start": // start CLASS id [count]
@@ -213,6 +237,12 @@
 		parts := strings.Split(rest, ":")
 		slots, _ := strconv.Atoi(parts[1])
 		record := bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: parts[0], Slots: slots, Draining: len(parts) > 2 && parts[2] == "draining"}
+		for _, part := range parts[2:] {
+			if remaining, ok := strings.CutPrefix(part, "cold="); ok {
+				record.ColdNamed = true
+				record.ColdRemaining, _ = time.ParseDuration(remaining)
+			}
+		}
 		if born, ok := strings.CutPrefix(parts[len(parts)-1], "born="); ok {
 			seconds, _ := strconv.ParseInt(born, 10, 64)
 			record.StartedAt = time.Unix(seconds, 0)
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -20,13 +20,22 @@
 
 // ExpectedWait estimates how long a request waits for a slot of the set if ahead
 // requests on this VM wait before it. It assumes that released slots are shared equally
-// by vms VMs, and adds this VM's shares of the limits that servers name. If the set has
-// neither it returns the mean run time.
+// by vms VMs, and adds this VM's shares of the limits that servers name and of cold servers. If
+// the set has none of these it returns when the first server turns warm, or the mean run time.
 func (sel *Selector) ExpectedWait(now time.Time, servers bergamotgrade.ServerSet, ahead, vms int) time.Duration {
-	slots, limited := 0, 0.0
+	slots, limited, warmIn := 0, 0.0, time.Duration(0)
 	for _, s := range sel.servers {
 		switch {
 		case !sel.counts(now, s, servers):
+		case sel.isCold(now, s):
+			rate := s.cold.share.bucket.Rate()
+			if s.rate.limited {
+				rate = min(rate, s.rate.bucket.Rate())
+			}
+			limited += rate
+			if wait := s.cold.until.Add(sel.release(s)).Sub(now); warmIn == 0 || wait < warmIn {
+				warmIn = wait
+			}
 		case s.rate.limited:
 			limited += s.rate.bucket.Rate()
 		default:
@@ -34,7 +43,10 @@
 		}
 	}
 	perSecond := float64(slots)/(float64(max(1, vms))*sel.runTime.Seconds()) + limited
-	if perSecond == 0 {
+	switch {
+	case perSecond == 0 && warmIn > 0:
+		return warmIn
+	case perSecond == 0:
 		return sel.runTime
 	}
 	return time.Duration(float64(ahead+1) / perSecond * float64(time.Second))
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -59,8 +59,9 @@
 	}
 	wait := s.selector.ExpectedWait(now, request.Servers, q.Len(), s.vms)
 	slots, used := s.selector.SlotUsage(now, request.Servers, placement.Online)
-	overloaded := overloadedError().WithRetryAt(now.Add(jitteredDelay(wait))).
-		WithCause(errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait))
+	retryIn, coldCause := s.retryWait(now, request.Servers, q.Len(), wait)
+	overloaded := overloadedError().WithRetryAt(now.Add(jitteredDelay(retryIn))).
+		WithCause(errors.CombineErrors(coldCause, errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait)))
 	if request.RejectIfLate && now.Add(wait).After(request.LatestStart) {
 		s.mu.Unlock()
 		return nil, overloaded
--- a/relay/exchanger.go
+++ b/relay/exchanger.go
@@ -37,6 +37,9 @@
 		e.log.Info("server names another limit on requests", "request_id", attempt.RequestID, "server", server.ServerID, "named", answer.RateLimit.Named,
 			"per_second", answer.RateLimit.PerSecond, "former_per_second", former.PerSecond)
 	}
+	if answer.ColdNamed {
+		e.scheduler.ObserveCold(server, answer.ColdRemaining)
+	}
 	if answer.ServerLeaving && len(e.scheduler.MarkLeaving([]bergamotgrade.ServerProcess{process}, true)) > 0 {
 		e.log.Info("server says that it leaves; sending it nothing new", "request_id", attempt.RequestID, "server", server.ServerID, "started_at", server.StartedAt, "status", answer.Status)
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -190,6 +190,9 @@
 		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
 		RejectIfLate: run.runs == 0,
 	})
+	if errors.Is(err, errServersCold) {
+		run.relay.observer.Count("refused_cold")
+	}
 	if err != nil {
 		return true, run.contextError(ctx, err)
 	}
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -68,6 +68,22 @@
 	// minLaterFaults and maxLaterFaults bound the number of faults of the later kinds.
 	minLaterFaults = 2
 	maxLaterFaults = 5
+	// maxNewestFaults bounds the number of faults of the newest kinds, which last minNewestDuration and
+	// the drawn part: an evacuation has to hold some time after VMs have to know of it.
+	maxNewestFaults   = 2
+	minNewestDuration = 6 * time.Second
+	// evacuateTimeout is the platform's bound on the time after which an evacuated data centre must get
+	// nothing.
+	evacuateTimeout = 5 * time.Second
+	// coldPerSecond and coldStart are those of the engines. A cold engine ends if it gets more than
+	// coldMost requests in a second, which is coldPerSecond x 1.5 + 5. It takes requests only coldOpenDelay
+	// after it has registered, when all VMs have to know that it is cold.
+	coldPerSecond = 4
+	coldStart     = 2 * time.Second
+	coldMost      = 11
+	coldOpenDelay = 2 * time.Second
+	// registerInterval is the pause between two registry entries of a cold engine.
+	registerInterval = 1200 * time.Millisecond
 	// maxFaultDuration bounds the drawn part of a fault's duration.
 	maxFaultDuration = 4 * time.Second
 	// allKilledProbability is the probability that a run ends with SIGKILL to all VMs.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -185,6 +185,7 @@
 			c.Routes[i].Services = map[string]int{serviceOne: 3, serviceTwo: 1}
 		}
 	}
+	c.ColdStart, c.ColdPerSecond = coldStart, coldPerSecond
 	c.Teams = append(c.Teams, standin.Team{Name: limitedTeam, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst})
 	write, err := c.Write()
 	if err != nil {
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -88,6 +88,8 @@
 				i.targetLock(fault{kind: faultKill, target: n}).Unlock()
 			}
 		}
+	case faultEvacuate:
+		return i.evacuate(f)
 	case faultRegistryOdd:
 		return i.leaveOddEntries()
 	case faultStoreCompact:
@@ -285,6 +287,8 @@
 			e.Restart()
 			i.fleet.registerEngine(f.target, "ready")
 		}
+	case faultEngineCold:
+		return i.startCold(f, e)
 	case faultEngineSwap:
 		return i.swapAddresses(f.target, (f.target+1)%i.fleet.size.engines)
 	}
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -43,6 +43,8 @@
 	faultRegistryOdd           faultKind = "registry_odd"     // another writer leaves odd entries among those of the engines
 	faultDiskReplaced          faultKind = "disk_replaced"    // the store is silent; a disk VM is killed and replaced at another address
 	faultConfigStorm           faultKind = "config_storm"     // new configurations follow in quick succession
+	faultEvacuate              faultKind = "evacuation"       // a data centre is evacuated; withdrawn at the end
+	faultEngineCold            faultKind = "engine_cold"      // starts again and is cold until the end
 	faultAllKilled             faultKind = "all_killed"       // SIGKILL to all VMs
 )
 
@@ -57,6 +59,9 @@
 // laterFaults are drawn apart from the others, so that the plans of older seeds keep their faults.
 var laterFaults = []faultKind{faultEngineRepeat, faultEngineBabble, faultEngineLeave, faultRegistryOdd, faultDiskReplaced}
 
+// newestFaults are drawn apart from both for the same reason.
+var newestFaults = []faultKind{faultEvacuate, faultEngineCold}
+
 // fault is one fault of a plan. Its start is relative to the start of the load.
 type fault struct {
 	kind     faultKind
@@ -129,6 +134,7 @@
 		}
 	}
 	plan = addLaterFaults(plan, seed, size, length)
+	plan = addNewestFaults(plan, seed, size, length)
 	if random.Float64() < allKilledProbability {
 		plan = append(plan, fault{kind: faultAllKilled, start: length, duration: time.Second})
 	}
@@ -155,6 +161,23 @@
 	return plan
 }
 
+// addNewestFaults adds faults of the newest kinds to the plan.
+func addNewestFaults(plan []fault, seed uint64, size fleetSize, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 3))
+	for range random.IntN(maxNewestFaults + 1) {
+		f := fault{kind: newestFaults[random.IntN(len(newestFaults))], duration: min(length/2, minNewestDuration+time.Duration(random.Int64N(int64(maxFaultDuration))))}
+		f.start = time.Duration(random.Int64N(int64(length - f.duration)))
+		f.target = random.IntN(size.dataCentres)
+		if f.kind == faultEngineCold {
+			f.target = random.IntN(size.engines)
+		}
+		if !slices.ContainsFunc(plan, f.overlaps) {
+			plan = append(plan, f)
+		}
+	}
+	return plan
+}
+
 // overlaps reports whether both faults affect the same target at the same time.
 func (f fault) overlaps(other fault) bool {
 	return f.targetKind() == other.targetKind() && f.target == other.target && f.start < other.start+other.duration && other.start < f.start+f.duration
@@ -165,7 +188,7 @@
 	switch {
 	case slices.Contains(vmFaults, f.kind), f.kind == faultDiskReplaced:
 		return "vm"
-	case slices.Contains(engineFaults, f.kind), f.kind == faultEngineRepeat, f.kind == faultEngineBabble, f.kind == faultEngineLeave:
+	case slices.Contains(engineFaults, f.kind), f.kind == faultEngineRepeat, f.kind == faultEngineBabble, f.kind == faultEngineLeave, f.kind == faultEngineCold:
 		return "engine"
 	}
 	return "fleet"
