Placement: tests of the release of cold servers and of their Retry-After

Two mutants survived: a server that says sooner than expected that it is warm was used by all VMs at once, and a Retry-After past the end of the cold time. Both tests fail on them now.

--- a/placement/cold_test.go
+++ b/placement/cold_test.go
@@ -357,3 +357,46 @@
 		qt.Check(t, use >= test.minUse, qt.IsTrue, qt.Commentf("%s: %.2f of the rates used", test.name, use))
 	}
 }
+
+// TestReleaseIsSpread guards against VMs that all start to use a server at the moment at which it turns
+// warm: when its time is over, when an entry says so sooner, and when an answer does.
+func TestReleaseIsSpread(t *testing.T) {
+	const vms = 60
+	for name, warm := range map[string]func(sel *Selector, now time.Time, record bergamotgrade.ServerRecord){
+		"time over": func(*Selector, time.Time, bergamotgrade.ServerRecord) {},
+		"entry": func(sel *Selector, now time.Time, record bergamotgrade.ServerRecord) {
+			record.ColdRemaining = 0
+			sel.SetServers(now, map[string]bergamotgrade.ServerRecord{record.ServerID: record})
+		},
+		"answers": func(sel *Selector, now time.Time, record bergamotgrade.ServerRecord) {
+			sel.ObserveCold(now, record, 0)
+		},
+	} {
+		remaining := 10 * time.Second
+		if name == "time over" {
+			remaining = time.Second
+		}
+		start := time.Unix(1000, 0)
+		warmAt := start.Add(time.Second)
+		record := bergamotgrade.ServerRecord{ServerID: "a", Service: "svc", DataCentre: "here", Slots: 8, ColdNamed: true, ColdRemaining: remaining}
+		released := make([]int, 5) // VMs that use the server 0, 100, ... 400 ms after it turned warm
+		for i := range vms {
+			sel := NewSelector(fmt.Sprint("vm", i), "here")
+			sel.SetServices(start, coldServices, coldOvershoot)
+			sel.SetServers(start, map[string]bergamotgrade.ServerRecord{"a": record})
+			for at := range released {
+				now := warmAt.Add(time.Duration(at) * 100 * time.Millisecond)
+				warm(sel, now, record) // the entries and answers of a warm server say so again and again
+				if _, ok := sel.Pick(now, Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}}); ok {
+					released[at]++
+				}
+			}
+		}
+		t.Log(name, released)
+		qt.Check(t, released[0] <= vms/20, qt.IsTrue, qt.Commentf("%s: %v", name, released))
+		for at := 1; at < len(released); at++ {
+			qt.Check(t, released[at]-released[at-1] <= vms/2, qt.IsTrue, qt.Commentf("%s: %v", name, released))
+		}
+		qt.Check(t, released[4], qt.Equals, vms)
+	}
+}
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -17,7 +17,7 @@
 	scheduler := newScheduler("a", "b")
 	now := time.Now()
 	request := SlotRequest{Servers: bergamotgrade.ServerSet{Service: "svc"}, LatestStart: now.Add(500 * time.Millisecond), Deadline: now.Add(time.Minute), RejectIfLate: true}
-	scheduler.SetServices(map[string]bergamotgrade.FleetService{"svc": {Name: "svc", ColdPerSecond: 0.5, ColdStart: time.Second}}, 0)
+	scheduler.SetServices(map[string]bergamotgrade.FleetService{"svc": {Name: "svc", ColdPerSecond: 0.05, ColdStart: time.Second}}, 0)
 	slot, err := scheduler.Acquire(context.Background(), request)
 	qt.Assert(t, err, qt.IsNil)
 	server := slot.Server()
@@ -27,7 +27,7 @@
 		scheduler.ObserveCold(server, 10*time.Second)
 	}
 	qt.Assert(t, scheduler.ColdServers(), qt.Equals, 2)
-	for _, test := range []struct{ remaining, least, most time.Duration }{{10 * time.Second, time.Second, 1600 * time.Millisecond}, {600 * time.Millisecond, 600 * time.Millisecond, 1600 * time.Millisecond}} {
+	for _, test := range []struct{ remaining, least, most time.Duration }{{time.Minute, 10 * time.Second, 15500 * time.Millisecond}, {600 * time.Millisecond, 600 * time.Millisecond, 1600 * time.Millisecond}} {
 		for _, id := range []string{"a", "b"} {
 			server.ServerID = id
 			scheduler.ObserveCold(server, test.remaining)
