--- a/entry/node.go
+++ b/entry/node.go
@@ -243,20 +243,6 @@
 	}
 }
 
-// setOperatorEntries applies the configuration, the evacuations and the retirement order that the
-// operator has written to the store.
-func (n *Node) setOperatorEntries(entries map[string]bergamotgrade.Entry) {
-	n.setEvacuations(entries)
-	if entry, ok := entries[platform.ConfigurationKey]; ok {
-		n.view.setConfiguration(entry)
-		n.setServices()
-		n.announce()
-	}
-	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; ok {
-		n.retire()
-	}
-}
-
 // retire stops this VM's job runner, so that other VMs take over its jobs. The maintenance
 // loop confirms the order afterwards.
 func (n *Node) retire() {
--- a/entry/evacuation.go
+++ b/entry/operator_entries.go
@@ -8,6 +8,20 @@
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
+// setOperatorEntries applies the configuration, the evacuations and the retirement order that the
+// operator has written to the store.
+func (n *Node) setOperatorEntries(entries map[string]bergamotgrade.Entry) {
+	n.setEvacuations(entries)
+	if entry, ok := entries[platform.ConfigurationKey]; ok {
+		n.view.setConfiguration(entry)
+		n.setServices()
+		n.announce()
+	}
+	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; ok {
+		n.retire()
+	}
+}
+
 // setEvacuations applies the operator's evacuations of data centres. The entries are never older than
 // those of an earlier call: the mirror drops older copies.
 func (n *Node) setEvacuations(entries map[string]bergamotgrade.Entry) {
