Homes bind servers, owners of batch jobs and their bodies

Routes and teams may name the regions in which their requests run; nothing used them. A ServerSet now includes only servers in its homes, so every selection, queue, resumed stream and batch item keeps to them. The head of a job stores its homes and the VM that accepted it: only VMs in the homes own it, and while none is alive, the accepting one. Store calls that carry a body go only through peers in the homes or in the VM's own region. The homes are read again from the configuration whenever an item starts or an owner is chosen. A VM without store prefers peers of its data centre where these suffice, and asks for copies there first.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -248,7 +248,7 @@
 	vms := []*testNode{f.addVM(1, true), f.addVM(2, true)}
 	disk := f.addVM(3, false)
 	f.waitFor("callers' VM has chosen the disk VM as runner", 3*time.Second, func() bool {
-		owner, _ := vms[0].view.RunnerFor("j")
+		owner, _ := vms[0].view.RunnerFor("j", bergamotgrade.Homes{}, "vm1")
 		return owner == "vm3"
 	})
 	var ids []string
@@ -344,7 +344,7 @@
 	f.addVM(1, true)
 	vmStore := standin.NewStoreServer(f.store)
 	cutOff := f.addVMAt(2, true, f.serve(vmStore))
-	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(); return ok })
+	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(bergamotgrade.Homes{}); return ok })
 	vmStore.SetFaults(standin.StoreFaults{Down: true})
 	f.waitFor("VM detects that it does not reach the store", 3*time.Second, cutOff.kv.Unreachable)
 	f.configure("k2")
--- a/entry/job_owner.go
+++ b/entry/job_owner.go
@@ -1,16 +1,21 @@
 package entry
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
 
-// RunnerFor implements jobs.Fleet by rendezvous hashing over the live VMs. Disk VMs are
-// preferred, since VMs that take callers' requests have little CPU.
-func (v *view) RunnerFor(jobID string) (vmID string, incarnation int64) {
+	"github.com/bergamotgrade/bergamotgrade"
+)
+
+// RunnerFor implements jobs.Fleet by rendezvous hashing over the live VMs in the homes. Disk VMs are
+// preferred, since VMs that take callers' requests have little CPU. If no VM in the homes is alive,
+// the one that accepted the job runs it: it has the job's body already.
+func (v *view) RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	best := uint64(0)
 	for _, wantRunner := range []bool{true, false} {
 		consider := func(id string, processIncarnation int64, runner bool) {
-			if runner != wantRunner {
+			if runner != wantRunner || !homes.Includes(v.regionOf(id)) {
 				return
 			}
 			if score := xxhash.Sum64String(jobID + "/" + id); vmID == "" || score > best {
@@ -30,7 +35,31 @@
 			return vmID, incarnation
 		}
 	}
-	return vmID, incarnation
+	if acceptedBy == v.self && !v.leaving {
+		return v.self, v.incarnation
+	}
+	if p, found := v.peers[acceptedBy]; found && p.listedWithin(v.clock.Now(), peerTimeout) && !p.Leaving {
+		return acceptedBy, p.Incarnation
+	}
+	return "", 0
+}
+
+// regionOf returns the region of the VM; "" if it is unknown. The caller holds the lock.
+func (v *view) regionOf(vmID string) string {
+	if vmID == v.self {
+		return v.regions.of(v.regions.own)
+	}
+	return v.regions.of(v.members[vmID].DataCentre)
+}
+
+// IsOutside implements jobs.Fleet. Nothing is known of a VM that is not registered.
+func (v *view) IsOutside(vmID string, homes bergamotgrade.Homes) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if _, registered := v.members[vmID]; !registered && vmID != v.self {
+		return false
+	}
+	return !homes.Includes(v.regionOf(vmID))
 }
 
 // RunnerAlive implements jobs.Fleet. A process counts as dead if a newer process runs on
--- a/entry/node.go
+++ b/entry/node.go
@@ -74,7 +74,7 @@
 	}
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
-	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, log)
+	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, regionsOf(settings), log)
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
 	n.origins = origin.New(n.clock, n, log)
@@ -95,8 +95,8 @@
 		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: innerAddress, DataCentre: settings.DataCentre, Callers: takesCallers, Cores: settings.Cores},
 	}
 	n.headCache = jobs.NewHeadCache(log)
-	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
-	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.refreshHeads, log)
+	n.repository = jobs.NewRepository(n.kv, n.bodyStore, n.headCache, settings.StoreValueBytes, n.ownerResults)
+	service := jobs.NewService(n.clock, settings.VMID, n.repository, n.headCache, n, n.refreshHeads, log)
 	exchanger := relay.NewObservingExchanger(n.backend, n.scheduler, log)
 	n.guard = quarantine.New(quarantine.Config{Clock: n.clock, VMID: settings.VMID, Store: n.kv, Prober: quarantine.NewDialProber(), VMs: n.view.liveVMs, Log: log})
 	n.runner = jobs.NewRunner(jobs.Config{
@@ -332,6 +332,26 @@
 	return n.servers
 }
 
+// IsRegistered implements jobs.ServiceFleet.
+func (n *Node) IsRegistered(servers bergamotgrade.ServerSet) bool {
+	for _, record := range n.serverRecords() {
+		if servers.Includes(record) {
+			return true
+		}
+	}
+	return false
+}
+
+// RunnerFor implements jobs.ServiceFleet.
+func (n *Node) RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64) {
+	return n.view.RunnerFor(jobID, homes, acceptedBy)
+}
+
+// bodyStore implements jobs.BodyStore.
+func (n *Node) bodyStore(head jobs.Head) bergamotgrade.KeyValue {
+	return n.kv.Within(head.HomesIn(n.view.Configuration()))
+}
+
 func (n *Node) setMembers(entries map[string]bergamotgrade.Entry) {
 	n.view.setMembers(entries)
 	n.gossip.SetPeers(n.view.gossipPeers())
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -73,10 +73,9 @@
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
 }
 
-// peerStore returns the store as called through a peer that reaches it, or nil if there
-// is no such peer.
-func (n *Node) peerStore() bergamotgrade.KeyValue {
-	address, ok := n.view.storePeer()
+// peerStore implements follow.PeerStore.
+func (n *Node) peerStore(homes bergamotgrade.Homes) bergamotgrade.KeyValue {
+	address, ok := n.view.storePeer(homes)
 	if !ok {
 		return nil
 	}
--- a/entry/quarantine_test.go
+++ b/entry/quarantine_test.go
@@ -9,6 +9,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 )
 
@@ -186,7 +187,7 @@
 	vms := []*testNode{f.addVM(1, true), f.addVM(2, true)}
 	cutOffStore := standin.NewStoreServer(f.store)
 	cutOff := f.addVMAt(4, true, f.serve(cutOffStore))
-	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(); return ok })
+	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(bergamotgrade.Homes{}); return ok })
 	cutOffStore.SetFaults(standin.StoreFaults{Down: true})
 	f.waitFor("VM detects that it does not reach the store", 3*time.Second, cutOff.kv.Unreachable)
 	f.playUntilSettled(vms)
--- a/entry/source.go
+++ b/entry/source.go
@@ -1,11 +1,14 @@
 package entry
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/follow"
 )
 
@@ -18,8 +21,9 @@
 	upToDate time.Time
 }
 
-// copySources returns the inner addresses of up to maxSources live peers. Peers with a
-// newer configuration than this VM come first.
+// copySources returns the inner addresses of up to maxSources live peers: those with a newer
+// configuration than this VM first, of these the ones that reach the store, as they have the newest
+// copies, and of these the ones of this data centre.
 func (v *view) copySources(maxSources int) []string {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -28,41 +32,57 @@
 		own = v.configuration.Version
 	}
 	now := v.clock.Now()
-	var newer, others []string
+	type source struct {
+		address string
+		rank    int
+	}
+	var sources []source
 	for id, p := range v.peers {
 		m, ok := v.members[id]
 		if !ok || !p.listedWithin(now, peerTimeout) {
 			continue
 		}
-		if p.Version > own {
-			newer = append(newer, m.InnerAddress)
-		} else {
-			others = append(others, m.InnerAddress)
+		rank := 0
+		for _, isWorse := range []bool{p.Version <= own, !p.reachesStore(now), m.DataCentre != v.regions.own} {
+			rank *= 2
+			if isWorse {
+				rank++
+			}
 		}
+		sources = append(sources, source{m.InnerAddress, rank})
+	}
+	// Equal ones stay in the random order of the map, which spreads the calls over them.
+	slices.SortStableFunc(sources, func(a, b source) int { return cmp.Compare(a.rank, b.rank) })
+	addresses := make([]string, 0, maxSources)
+	for _, s := range sources[:min(maxSources, len(sources))] {
+		addresses = append(addresses, s.address)
 	}
-	sources := append(newer, others...)
-	return sources[:min(maxSources, len(sources))]
+	return addresses
 }
 
-// storePeer returns the inner address of a VM that reaches the store. Rendezvous hashing
-// spreads the VMs over such peers. A VM that has just started and has received no gossip
-// message tries the registered VMs, a different one each second.
-func (v *view) storePeer() (address string, ok bool) {
+// storePeer returns the inner address of a VM that reaches the store and may see data with the homes.
+// Rendezvous hashing spreads the VMs over such peers. A VM that has just started and has received no
+// gossip message tries the registered VMs, a different one each second.
+func (v *view) storePeer(homes bergamotgrade.Homes) (address string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now, best := v.clock.Now(), uint64(0)
 	if !v.seenSelf && len(v.peers) == 0 {
 		second := now.Unix()
 		for id, m := range v.members {
+			if !v.regions.mayCarry(m.DataCentre, homes) {
+				continue
+			}
 			if score := xxhash.Sum64String(fmt.Sprint(second, "/", id)); !ok || score > best {
 				address, best, ok = m.InnerAddress, score, true
 			}
 		}
 		return address, ok
 	}
+	local := v.regions.mayCarry(v.regions.own, homes) && v.prefersLocalStore(now)
 	for id, p := range v.peers {
 		m, registered := v.members[id]
-		if !registered || !p.reachesStore(now) {
+		if !registered || !p.reachesStore(now) || !v.regions.mayCarry(m.DataCentre, homes) || local && m.DataCentre != v.regions.own {
 			continue
 		}
 		if score := xxhash.Sum64String(v.self + "/" + id); !ok || score > best {
@@ -72,6 +92,23 @@
 	return address, ok
 }
 
+// prefersLocalStore reports whether store calls go through a VM of this data centre: at least as many
+// VMs here reach the store as do not, so that each makes the calls of about one other VM at most. The
+// caller holds the lock.
+func (v *view) prefersLocalStore(now time.Time) bool {
+	reaching, cutOff := 0, 1
+	for id, p := range v.peers {
+		switch {
+		case v.members[id].DataCentre != v.regions.own || !p.listedWithin(now, watcherTimeout):
+		case p.reachesStore(now):
+			reaching++
+		case p.StoreUnreachable:
+			cutOff++
+		}
+	}
+	return reaching >= cutOff
+}
+
 // sourceRole is the part of a VM in the spreading of the store's changes.
 type sourceRole int
 
--- a/entry/view.go
+++ b/entry/view.go
@@ -47,6 +47,7 @@
 	takesCallers bool
 	startedAt    time.Time
 	log          *slog.Logger
+	regions      regions
 
 	mu                sync.Mutex
 	configuration     *bergamotgrade.FleetConfiguration
@@ -61,9 +62,9 @@
 	seenSelf bool
 }
 
-func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, log *slog.Logger) *view {
+func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, regions regions, log *slog.Logger) *view {
 	return &view{
-		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log,
+		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log, regions: regions,
 		members: map[string]member{}, peers: map[string]peer{}, copies: map[copyID]announcedCopy{}, limiter: limit.NewFleetLimiter(),
 	}
 }
--- a/entry/view_test.go
+++ b/entry/view_test.go
@@ -32,7 +32,7 @@
 // unreachable right after the start of all VMs, one VM had read an empty list of members
 // and admitted 20/s in addition to the 20/s of the others.
 func TestUnregisteredVMRefusesRequests(t *testing.T) {
-	v := newView(bergamotgrade.SystemClock{}, "vm1", 1, true, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	v := newView(bergamotgrade.SystemClock{}, "vm1", 1, true, regions{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	write, err := standin.NewConfiguration(1, "svc", "k").Write()
 	qt.Assert(t, err, qt.IsNil)
 	v.setConfiguration(bergamotgrade.Entry{Key: write.Key, Value: write.Value, Revision: 1})
@@ -69,7 +69,7 @@
 // seed 142883499: BUDGET).
 func TestRunnerAlive(t *testing.T) {
 	clock := &manualClock{now: time.Unix(1000, 0)}
-	v := newView(clock, "vm1", 1, false, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	v := newView(clock, "vm1", 1, false, regions{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	v.setMembers(registrations(t, "vm1", "vm2", "vm3", "vm4"))
 	v.recordReport(reportOf("vm2", "vm3", "vm4"))
 	clock.now = clock.now.Add(time.Minute)
@@ -99,7 +99,7 @@
 		entries[fmt.Sprint(i)] = bergamotgrade.Entry{Key: fmt.Sprint(i), Value: value}
 	}
 	sourceOf := func(self, dataCentre string, unreachable ...string) (string, sourceRole) {
-		v := newView(clock, self, 1, true, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		v := newView(clock, self, 1, true, regions{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		v.setMembers(entries)
 		report := reportOf("a1", "a2", "b1", "b2")
 		for i := range report.VMs {
--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -131,7 +131,7 @@
 	return f
 }
 
-func (f *mirrorFixture) peerStore() bergamotgrade.KeyValue {
+func (f *mirrorFixture) peerStore(bergamotgrade.Homes) bergamotgrade.KeyValue {
 	if f.peerReaches.Load() {
 		return f.store.Store
 	}
@@ -243,7 +243,7 @@
 	clock := scripttest.NewClock()
 	var peerReaches bool
 	down := bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "away", "wait")
-	monitored := NewMonitoredStore(nil, clock, func() bergamotgrade.KeyValue {
+	monitored := NewMonitoredStore(nil, clock, func(bergamotgrade.Homes) bergamotgrade.KeyValue {
 		if peerReaches {
 			return standin.NewStore(clock)
 		}
@@ -312,7 +312,7 @@
 	store := standin.NewStore(bergamotgrade.SystemClock{})
 	put(t, store, "servers/missed", "1")
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	monitored := NewMonitoredStore(store, bergamotgrade.SystemClock{}, func() bergamotgrade.KeyValue { return nil }, log)
+	monitored := NewMonitoredStore(store, bergamotgrade.SystemClock{}, func(bergamotgrade.Homes) bergamotgrade.KeyValue { return nil }, log)
 	watcher := NewMirror(monitored, bergamotgrade.SystemClock{}, "servers/", StartAtOnce, 0, ShortWatchWait, &testPeers{}, func(map[string]bergamotgrade.Entry) {}, log)
 	watcher.revision = 5
 	for range 9 {
@@ -439,7 +439,7 @@
 
 func newSteppedMirror(store *standin.Store, clock bergamotgrade.Clock, peers Peers) steppedMirror {
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
-	monitored := NewMonitoredStore(store, clock, func() bergamotgrade.KeyValue { return nil }, log)
+	monitored := NewMonitoredStore(store, clock, func(bergamotgrade.Homes) bergamotgrade.KeyValue { return nil }, log)
 	return steppedMirror{NewMirror(monitored, clock, "servers/", StartAtOnce, 0, ShortWatchWait, peers, func(map[string]bergamotgrade.Entry) {}, log), monitored}
 }
 
--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -19,9 +19,9 @@
 	kv    bergamotgrade.KeyValue
 	clock bergamotgrade.Clock
 	log   *slog.Logger
-	// peerStore returns a store whose calls go through a peer, or nil if no peer reaches
-	// the store.
-	peerStore func() bergamotgrade.KeyValue
+	// peerStore returns a store whose calls go through a peer that may see data with the homes, or
+	// nil if no such peer reaches the store.
+	peerStore PeerStore
 
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
@@ -43,9 +43,13 @@
 
 var _ bergamotgrade.KeyValue = (*MonitoredStore)(nil)
 
-// NewMonitoredStore returns a wrapper of the store. peerStore returns a store whose calls
-// go through a peer, or nil if no peer reaches the store.
-func NewMonitoredStore(kv bergamotgrade.KeyValue, clock bergamotgrade.Clock, peerStore func() bergamotgrade.KeyValue, log *slog.Logger) *MonitoredStore {
+// PeerStore returns a store whose calls go through a peer that may see data with the homes, or nil if
+// no such peer reaches the store.
+type PeerStore func(homes bergamotgrade.Homes) bergamotgrade.KeyValue
+
+// NewMonitoredStore returns a wrapper of the store, whose calls go through peerStore while the store is
+// unreachable.
+func NewMonitoredStore(kv bergamotgrade.KeyValue, clock bergamotgrade.Clock, peerStore PeerStore, log *slog.Logger) *MonitoredStore {
 	return &MonitoredStore{kv: kv, clock: clock, peerStore: peerStore, log: log, stateChanged: make(chan struct{})}
 }
 
@@ -96,7 +100,7 @@
 
 // observePeers records whether other VMs reach the store while calls fail here.
 func (s *MonitoredStore) observePeers() {
-	reached := s.peerStore() != nil
+	reached := s.peerStore(bergamotgrade.Homes{}) != nil
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -178,10 +182,10 @@
 
 // callStore makes one call, through a peer while the store is unreachable from this VM,
 // else directly. A call that failed at the peer is only repeated directly if it
-// certainly had no effect on the store.
-func callStore[A any](ctx context.Context, s *MonitoredStore, call func(kv bergamotgrade.KeyValue) (A, error)) (A, error) {
+// certainly had no effect on the store. Only peers that may see data with the homes are used.
+func callStore[A any](ctx context.Context, s *MonitoredStore, homes bergamotgrade.Homes, call func(kv bergamotgrade.KeyValue) (A, error)) (A, error) {
 	if s.Unreachable() {
-		if peer := s.peerStore(); peer != nil {
+		if peer := s.peerStore(homes); peer != nil {
 			answer, err := call(peer)
 			if err == nil || !bergamotgrade.AsError(err).NotRun() {
 				return answer, err
@@ -195,7 +199,7 @@
 
 // Read implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) Read(ctx context.Context, key string, stale bool) (bergamotgrade.Entry, error) {
-	return callStore(ctx, s, func(kv bergamotgrade.KeyValue) (bergamotgrade.Entry, error) { return kv.Read(ctx, key, stale) })
+	return s.readWithin(ctx, bergamotgrade.Homes{}, key, stale)
 }
 
 // rangeResult holds the two results of Range.
@@ -206,11 +210,7 @@
 
 // Range implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) Range(ctx context.Context, prefix string, stale bool) ([]bergamotgrade.Entry, int64, error) {
-	answer, err := callStore(ctx, s, func(kv bergamotgrade.KeyValue) (rangeResult, error) {
-		entries, revision, err := kv.Range(ctx, prefix, stale)
-		return rangeResult{entries, revision}, err
-	})
-	return answer.entries, answer.revision, err
+	return s.rangeWithin(ctx, bergamotgrade.Homes{}, prefix, stale)
 }
 
 // Changes implements bergamotgrade.KeyValue. It never goes through a peer.
@@ -222,22 +222,22 @@
 
 // Commit implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) Commit(ctx context.Context, commit bergamotgrade.KeyCommit) (bergamotgrade.CommitResult, error) {
-	return callStore(ctx, s, func(kv bergamotgrade.KeyValue) (bergamotgrade.CommitResult, error) { return kv.Commit(ctx, commit) })
+	return s.commitWithin(ctx, bergamotgrade.Homes{}, commit)
 }
 
 // NewLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) NewLease(ctx context.Context, term time.Duration) (int64, error) {
-	return callStore(ctx, s, func(kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
+	return callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
 }
 
 // KeepLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) KeepLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.KeepLease(ctx, leaseID) })
+	_, err := callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.KeepLease(ctx, leaseID) })
 	return err
 }
 
 // EndLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) EndLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.EndLease(ctx, leaseID) })
+	_, err := callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.EndLease(ctx, leaseID) })
 	return err
 }
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -86,4 +86,7 @@
 	// refusalRetryAfter is the Retry-After time for a job that exceeds the limit on
 	// waiting tokens or cannot be stored now.
 	refusalRetryAfter = time.Second
+	// strayDelay is how long a job's owner is outside its homes before another VM takes the job
+	// over: configurations reach all VMs within two seconds.
+	strayDelay = 2 * time.Second
 )
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -209,15 +209,30 @@
 
 func (vm *testVM) Configuration() *bergamotgrade.FleetConfiguration { return vm.fleet.config }
 
-func (vm *testVM) RunnerFor(string) (string, int64) {
+// anyVM returns a BodyStore whose calls may pass through any VM.
+func anyVM(kv bergamotgrade.KeyValue) BodyStore {
+	return func(Head) bergamotgrade.KeyValue { return kv }
+}
+
+func (vm *testVM) RunnerFor(_ string, homes bergamotgrade.Homes, acceptedBy string) (string, int64) {
 	vm.fleet.mu.Lock()
 	defer vm.fleet.mu.Unlock()
 	for _, name := range []string{"vm1", "vm2"} {
-		if incarnation := vm.fleet.alive[name]; incarnation > 0 {
+		if incarnation := vm.fleet.alive[name]; incarnation > 0 && !vm.IsOutside(name, homes) {
 			return name, incarnation
 		}
 	}
-	return "", 0
+	return acceptedBy, vm.fleet.alive[acceptedBy]
+}
+
+// IsOutside implements Fleet; the region of a VM is "region-" and its name.
+func (vm *testVM) IsOutside(name string, homes bergamotgrade.Homes) bool {
+	return !homes.Includes("region-" + name)
+}
+
+// IsRegistered implements ServiceFleet; servers are in the region "servers".
+func (vm *testVM) IsRegistered(servers bergamotgrade.ServerSet) bool {
+	return servers.Homes.Includes("servers")
 }
 
 func (vm *testVM) RunnerAlive(name string, incarnation int64) bool {
@@ -232,8 +247,8 @@
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	clock := bergamotgrade.SystemClock{}
 	vm.headCache = NewHeadCache(log)
-	vm.repository = NewRepository(f.store, vm.headCache, 1<<20, noOwnerResults)
-	vm.service = NewService(clock, vm.repository, vm.headCache, vm.RunnerFor, never, log)
+	vm.repository = NewRepository(f.store, anyVM(f.store), vm.headCache, 1<<20, noOwnerResults)
+	vm.service = NewService(clock, name, vm.repository, vm.headCache, vm, never, log)
 	scheduler := relay.NewScheduler(clock, placement.NewSelector(name, "here"), func() {})
 	records := map[string]bergamotgrade.ServerRecord{}
 	for _, id := range f.servers {
@@ -437,9 +452,9 @@
 	found := vm.waitForResults(t, "j", 2, 5*time.Second)
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	headCache := NewHeadCache(log)
-	repository := NewRepository(f.store, headCache, 1<<20, noOwnerResults)
+	repository := NewRepository(f.store, anyVM(f.store), headCache, 1<<20, noOwnerResults)
 	headCache.Put("j", Head{Team: "team", Items: 2, Revision: 1})
-	staleService := NewService(bergamotgrade.SystemClock{}, repository, headCache, vm.RunnerFor, never, log)
+	staleService := NewService(bergamotgrade.SystemClock{}, "vm1", repository, headCache, vm, never, log)
 	_, read, err := staleService.Results(context.Background(), "team", "j", 0, time.Now())
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, read, qt.DeepEquals, found)
@@ -454,12 +469,12 @@
 func TestPollsWithoutStoreCalls(t *testing.T) {
 	store := &faultyStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}
 	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	repository := NewRepository(store, headCache, 1<<20, noOwnerResults)
+	repository := NewRepository(store, anyVM(store), headCache, 1<<20, noOwnerResults)
 	_, _, created, err := repository.Create(context.Background(), "j", Head{Team: "team", Items: 1}, []Item{{ItemID: "a"}})
 	qt.Assert(t, err, qt.IsNil)
 	qt.Assert(t, created, qt.IsTrue)
 	upToDate := true
-	service := NewService(bergamotgrade.SystemClock{}, repository, headCache, nil, func(context.Context, time.Duration) bool { return upToDate }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	service := NewService(bergamotgrade.SystemClock{}, "vm1", repository, headCache, nil, func(context.Context, time.Duration) bool { return upToDate }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	for _, reads := range []int{0, 1} {
 		before := store.reads
 		total, found, err := service.Results(context.Background(), "team", "j", 0, time.Now())
@@ -506,7 +521,7 @@
 	found := vm.waitForResults(t, "j", 3, 5*time.Second)
 	asked := 0
 	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	reader := NewRepository(f.store, headCache, 1<<20, func(_ context.Context, jobID string, _ Head, from int) []Result {
+	reader := NewRepository(f.store, anyVM(f.store), headCache, 1<<20, func(_ context.Context, jobID string, _ Head, from int) []Result {
 		asked++
 		return vm.repository.CachedResults(jobID, from)[:1]
 	})
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -56,19 +56,19 @@
 	ctx context.Context
 }
 
-// servers returns the servers at which the item may run, whose route leads to the service. An
+// servers returns the servers in the homes at which the item may run, whose route leads to the service. An
 // item whose output cannot go on, because no server of its origin is left, starts anew.
-func (i *ownedItem) servers(service string) bergamotgrade.ServerSet {
+func (i *ownedItem) servers(service string, homes bergamotgrade.Homes) bergamotgrade.ServerSet {
 	i.job.mu.Lock()
 	defer i.job.mu.Unlock()
-	servers := i.origin.Servers(service)
+	servers := i.origin.Servers(service, homes)
 	if i.running || i.origin.IsZero() || servers.Service == service && i.job.runner.scheduler.HasServer(servers) {
 		return servers
 	}
 	i.job.runner.log.Info("item starts anew; no server of the software that began its output is left", "job", i.job.id, "item", i.item.ItemID,
 		"version", i.origin.SoftwareVersion, "service", i.origin.Service, "last_event_id", i.events.Last())
 	i.clearText()
-	return bergamotgrade.ServerSet{Service: service}
+	return bergamotgrade.ServerSet{Service: service, Homes: homes}
 }
 
 // clearText drops the output received so far. The caller holds the job's lock.
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -85,6 +85,10 @@
 	// is the incarnation of that process. Owner is empty while none is assigned.
 	Owner            string `msgpack:"owner"`
 	OwnerIncarnation int64  `msgpack:"owner_incarnation"`
+	// Homes are the regions of the route and the team at the acceptance. Only VMs there may own
+	// the job, and AcceptedBy, the VM that accepted it, while none of them is alive.
+	Homes      bergamotgrade.Homes `msgpack:"homes"`
+	AcceptedBy string              `msgpack:"accepted_by"`
 	// Revision is the store's revision of the head's entry.
 	Revision int64 `msgpack:"-"`
 }
--- a/jobs/record_test.go
+++ b/jobs/record_test.go
@@ -38,7 +38,7 @@
 	// A VM that knows nothing but the store.
 	log := slog.New(slog.NewTextHandler(io.Discard, nil))
 	fresh := NewHeadCache(log)
-	reader := NewService(bergamotgrade.SystemClock{}, NewRepository(f.store, fresh, 1<<20, noOwnerResults), fresh, nil, never, log)
+	reader := NewService(bergamotgrade.SystemClock{}, "vm1", NewRepository(f.store, anyVM(f.store), fresh, 1<<20, noOwnerResults), fresh, nil, never, log)
 	ctx := context.Background()
 	for _, team := range []string{"team", "other"} {
 		for _, id := range oddIDs {
@@ -118,7 +118,7 @@
 	f := newFleet()
 	ctx := context.Background()
 	headCache := NewHeadCache(slog.New(slog.NewTextHandler(io.Discard, nil)))
-	repository := NewRepository(f.store, headCache, 1<<20, noOwnerResults)
+	repository := NewRepository(f.store, anyVM(f.store), headCache, 1<<20, noOwnerResults)
 	for submittedAt := range int64(3) {
 		item := fmt.Sprint("item", submittedAt)
 		recordID, head, created, err := repository.Create(ctx, "j", Head{Team: "team", Items: 1, SubmittedAt: submittedAt}, []Item{{ItemID: item}})
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -12,6 +12,7 @@
 // Repository reads and writes jobs in the platform's store.
 type Repository struct {
 	kv         bergamotgrade.KeyValue
+	bodyStore  BodyStore
 	headCache  *HeadCache
 	valueBytes int
 	cache      *lruCache
@@ -24,10 +25,14 @@
 // store.
 type OwnerResults func(ctx context.Context, recordID string, head Head, from int) []Result
 
+// BodyStore returns the store for calls that carry the body of the job; they pass only through VMs that
+// may see it.
+type BodyStore func(head Head) bergamotgrade.KeyValue
+
 // NewRepository returns a repository for a store whose values hold at most
-// valueBytes.
-func NewRepository(kv bergamotgrade.KeyValue, headCache *HeadCache, valueBytes int, ownerResults OwnerResults) *Repository {
-	return &Repository{kv: kv, headCache: headCache, valueBytes: int(usableValueFraction * float64(valueBytes)), cache: newLRUCache(maxCacheBytes), ownerResults: ownerResults}
+// valueBytes. Calls that carry the body of a job are made through bodyStore.
+func NewRepository(kv bergamotgrade.KeyValue, bodyStore BodyStore, headCache *HeadCache, valueBytes int, ownerResults OwnerResults) *Repository {
+	return &Repository{kv: kv, bodyStore: bodyStore, headCache: headCache, valueBytes: int(usableValueFraction * float64(valueBytes)), cache: newLRUCache(maxCacheBytes), ownerResults: ownerResults}
 }
 
 // Create stores the head and the body of a new job in one commit and returns its record id. If the
@@ -60,7 +65,7 @@
 		for i, part := range parts {
 			commit.Writes = append(commit.Writes, bergamotgrade.KeyWrite{Key: bodyKey(recordID, i), Value: part})
 		}
-		result, err := r.kv.Commit(ctx, commit)
+		result, err := r.bodyStore(head).Commit(ctx, commit)
 		if err != nil {
 			return "", Head{}, false, err
 		}
@@ -248,7 +253,7 @@
 // bodyParts reads the parts of the job's body. Below the prefix there may be parts of other jobs,
 // whose ids go on with a slash.
 func (r *Repository) bodyParts(ctx context.Context, recordID string, head Head, stale bool) ([][]byte, error) {
-	entries, _, err := r.kv.Range(ctx, bodyPrefix(recordID), stale)
+	entries, _, err := r.bodyStore(head).Range(ctx, bodyPrefix(recordID), stale)
 	if err != nil {
 		return nil, err
 	}
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -17,9 +17,11 @@
 type Fleet interface {
 	// Configuration returns the current configuration; nil before there is any.
 	Configuration() *bergamotgrade.FleetConfiguration
-	// RunnerFor returns the process that should own the job; vmID is empty if there is
-	// none.
-	RunnerFor(jobID string) (vmID string, incarnation int64)
+	// RunnerFor returns the process that should own the job, which was accepted by the VM
+	// acceptedBy; vmID is empty if there is none.
+	RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64)
+	// IsOutside reports whether the VM is known to be in no region of the homes.
+	IsOutside(vmID string, homes bergamotgrade.Homes) bool
 	// RunnerAlive reports whether the process counts as running.
 	RunnerAlive(vmID string, incarnation int64) bool
 }
@@ -50,6 +52,8 @@
 	// resumed; zero until the first is done.
 	meanRunTime time.Duration
 	suspects    suspectLane
+	// strays is used by reconcileJobs only.
+	strays strays
 	// stopping is set by Stop; no job or item is started afterwards.
 	stopping bool
 }
@@ -77,7 +81,7 @@
 		clock: config.Clock, self: config.VMID, incarnation: config.Incarnation, fleet: config.Fleet,
 		scheduler: config.Scheduler, exchanger: config.Exchanger, guard: config.Guard, repository: config.Repository, headCache: config.HeadCache,
 		observer: config.Observer, log: config.Log, resultRetention: config.ResultRetention,
-		owned: map[string]*ownedJob{}, claiming: map[string]bool{}, wake: make(chan struct{}, 1),
+		owned: map[string]*ownedJob{}, claiming: map[string]bool{}, strays: strays{}, wake: make(chan struct{}, 1),
 	}
 }
 
@@ -132,21 +136,29 @@
 // reconcileJobs starts the jobs that this process owns, claims the jobs that it
 // should own, and stops those that were cancelled or have another owner.
 func (r *Runner) reconcileJobs(ctx context.Context, heads map[string]Head) {
+	config := r.fleet.Configuration()
+	r.strays.retain(heads)
 	for id, head := range heads {
 		owned := head.Owner == r.self && head.OwnerIncarnation == r.incarnation
 		job := r.job(id)
+		homes := head.HomesIn(config)
+		isHome := !r.fleet.IsOutside(r.self, homes)
 		switch {
 		case job != nil:
 			job.observeHead(head, owned)
 		case !head.Open():
 		case owned:
-			r.adopt(ctx, id, head)
-		case head.Owner == r.self:
+			// Another VM may have chosen this one by an older configuration; then one in the
+			// homes takes the job over.
+			if isHome || head.AcceptedBy == r.self {
+				r.adopt(ctx, id, head)
+			}
+		case head.Owner == r.self && isHome:
 			// An earlier process of this VM owns the job. It has ended, so its liveness
 			// need not be checked.
 			r.startClaim(ctx, id, head)
-		case !r.fleet.RunnerAlive(head.Owner, head.OwnerIncarnation):
-			if vmID, incarnation := r.fleet.RunnerFor(id); vmID == r.self && incarnation == r.incarnation {
+		case r.needsOwner(id, head, homes):
+			if vmID, incarnation := r.fleet.RunnerFor(id, homes, head.AcceptedBy); vmID == r.self && incarnation == r.incarnation {
 				r.startClaim(ctx, id, head)
 			}
 		}
@@ -230,7 +242,7 @@
 			item.abandonIfIdle("not finished within the retention time of its route")
 			continue
 		}
-		servers := item.servers(route.Target(item.hash))
+		servers := item.servers(route.Target(item.hash), item.job.spec.HomesIn(config))
 		if full[servers] {
 			continue
 		}
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -3,30 +3,40 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bergamotgrade/bergamotgrade"
 )
 
 // Service implements the calls on batch jobs: submit, read results and items, cancel.
 type Service struct {
 	clock      bergamotgrade.Clock
+	vmID       string
 	repository *Repository
 	headCache  *HeadCache
-	// assign returns the process that should run a new job; an empty vmID leaves the
-	// job without an owner.
-	assign func(jobID string) (vmID string, incarnation int64)
+	fleet      ServiceFleet
 	// refresh brings headCache up to date and reports whether it had all changes up to
 	// maxAge ago.
 	refresh func(ctx context.Context, maxAge time.Duration) bool
 	log     *slog.Logger
 }
 
-// NewService returns a service; assign chooses the owner of a new job. refresh brings
-// headCache up to date without a store call and reports whether it had all changes up to
-// maxAge ago.
-func NewService(clock bergamotgrade.Clock, repository *Repository, headCache *HeadCache, assign func(string) (string, int64), refresh func(ctx context.Context, maxAge time.Duration) bool, log *slog.Logger) *Service {
-	return &Service{clock: clock, repository: repository, headCache: headCache, assign: assign, refresh: refresh, log: log}
+// ServiceFleet is the service's view of the VMs and backend servers.
+type ServiceFleet interface {
+	// RunnerFor returns the process that should own a new job; an empty vmID leaves the job without
+	// an owner.
+	RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64)
+	// IsRegistered reports whether any backend server of the set is registered.
+	IsRegistered(servers bergamotgrade.ServerSet) bool
+}
+
+// NewService returns a service of the VM. refresh brings headCache up to date without a store call and
+// reports whether it had all changes up to maxAge ago.
+func NewService(clock bergamotgrade.Clock, vmID string, repository *Repository, headCache *HeadCache, fleet ServiceFleet, refresh func(ctx context.Context, maxAge time.Duration) bool, log *slog.Logger) *Service {
+	return &Service{clock: clock, vmID: vmID, repository: repository, headCache: headCache, fleet: fleet, refresh: refresh, log: log}
 }
 
 // Submission is a job that a caller submits.
@@ -37,6 +47,8 @@
 	Path  string
 	Route *bergamotgrade.FleetRoute
 	Items []Item
+	// Homes are the regions of the servers that may run the items.
+	Homes bergamotgrade.Homes
 	// SameRoute reports whether the host and path of another job select this job's route.
 	SameRoute func(host, path string) bool
 	Deadline  time.Time
@@ -68,9 +80,27 @@
 				WithNotRun().WithRetryAt(s.clock.Now().Add(refusalRetryAfter))
 		}
 	}
+	if !s.hasServerInHomes(submission) {
+		// The job may have been accepted while there were servers.
+		if _, _, ok, err := s.repository.FindStored(ctx, submission.Team, id); err != nil {
+			return unknownOutcome(err)
+		} else if ok {
+			return nil
+		}
+		return bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server in the regions of the batch job is registered", "try again after the time in Retry-After").
+			WithCause(errors.Newf("homes %s", submission.Homes)).WithNotRun().WithRetryAt(s.clock.Now().Add(refusalRetryAfter))
+	}
 	return s.create(ctx, submission, tokens)
 }
 
+// hasServerInHomes reports whether any server that the items may run at is registered. A job that may
+// run in any region is accepted without.
+func (s *Service) hasServerInHomes(submission Submission) bool {
+	return submission.Homes.IsAny() || slices.ContainsFunc(submission.Route.Services(), func(service string) bool {
+		return s.fleet.IsRegistered(bergamotgrade.ServerSet{Service: service, Homes: submission.Homes})
+	})
+}
+
 // create stores the job and retries for up to submitTimeout while the store fails.
 func (s *Service) create(ctx context.Context, submission Submission, tokens int64) error {
 	now := s.clock.Now()
@@ -79,8 +109,9 @@
 		SubmittedAt: now.UnixMilli(), DueAt: now.Add(submission.Route.RunObjective).UnixMilli(),
 		KeepUntil: now.Add(submission.Route.Retention).UnixMilli(),
 		Items:     len(submission.Items), WaitingTokens: tokens,
+		Homes: submission.Homes, AcceptedBy: s.vmID,
 	}
-	head.Owner, head.OwnerIncarnation = s.assign(submission.JobID)
+	head.Owner, head.OwnerIncarnation = s.fleet.RunnerFor(submission.JobID, head.Homes, head.AcceptedBy)
 	giveUpAt := now.Add(submitTimeout)
 	if submission.Deadline.Before(giveUpAt) {
 		giveUpAt = submission.Deadline
--- a/quarantine/mirror.go
+++ b/quarantine/mirror.go
@@ -11,7 +11,7 @@
 // NewStoreMirror returns a mirror that keeps the guard's records up to date by watches of the
 // store, for VMs that don't fetch copies from each other.
 func NewStoreMirror(store bergamotgrade.KeyValue, clock bergamotgrade.Clock, guard *Guard, log *slog.Logger) *follow.Mirror {
-	noPeer := func() bergamotgrade.KeyValue { return nil }
+	noPeer := func(bergamotgrade.Homes) bergamotgrade.KeyValue { return nil }
 	return follow.NewMirror(follow.NewMonitoredStore(store, clock, noPeer, log), clock, Prefix, follow.StartAtOnce, 0, follow.LongWatchWait, noPeers{}, guard.SetEntries, log)
 }
 
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -44,7 +44,7 @@
 	now := s.clock.Now()
 	if !s.selector.HasServer(request.Servers) {
 		s.mu.Unlock()
-		return nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
+		return nil, noServerError(request.Servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
 	q := s.queue(request.Servers)
 	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
@@ -83,8 +83,9 @@
 	return delay + time.Duration(rand.Int64N(int64(delay/2)+1))
 }
 
-func noServerError() *bergamotgrade.Error {
-	return bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server of the service is in use", "try again after the time in Retry-After")
+func noServerError(servers bergamotgrade.ServerSet) *bergamotgrade.Error {
+	return bergamotgrade.NewError(bergamotgrade.KindNoBackendServer, "no backend server of the service is in use", "try again after the time in Retry-After").
+		WithCause(errors.Newf("no server of %q in %s accepts requests", servers.Service, servers.Homes))
 }
 
 func overloadedError() *bergamotgrade.Error {
@@ -98,7 +99,7 @@
 	select {
 	case slot := <-w.result:
 		if slot == nil {
-			return nil, noServerError().WithRetryAt(s.clock.Now().Add(jitteredDelay(minRetryAfter * 4)))
+			return nil, noServerError(w.criteria.Servers).WithRetryAt(s.clock.Now().Add(jitteredDelay(minRetryAfter * 4)))
 		}
 		return slot, nil
 	case <-timer.C:
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -31,6 +31,8 @@
 	Service     string
 	// Services holds the services that may run requests of the route.
 	Services []string
+	// Homes are the regions of the servers that may run the request.
+	Homes bergamotgrade.Homes
 	// Streams marks a request whose response is an event stream.
 	Streams bool
 	// Repeatable allows the request to run more than once; a repeatable stream is
@@ -186,7 +188,7 @@
 		return true, err
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
-		Servers: run.origin.Servers(req.Service), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
+		Servers: run.origin.Servers(req.Service, req.Homes), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
 		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
 		RejectIfLate: run.runs == 0,
 	})
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -131,7 +131,8 @@
 func (s *Scheduler) onlineWaits(servers bergamotgrade.ServerSet) bool {
 	for waited, q := range s.queues {
 		isSameVersion := !waited.OneVersion || !servers.OneVersion || waited.SoftwareVersion == servers.SoftwareVersion
-		if waited.Service == servers.Service && isSameVersion && q.Len() > 0 {
+		shareServers := isSameVersion && !waited.Homes.Intersect(servers.Homes).IsEmpty()
+		if waited.Service == servers.Service && shareServers && q.Len() > 0 {
 			return true
 		}
 	}
@@ -139,12 +140,12 @@
 }
 
 // sortedQueues returns the sets with queues: streams that have begun come first, as their
-// callers wait in the middle of an answer. It removes empty queues of versions, of which there
-// are new ones all the time. The caller holds the lock.
+// callers wait in the middle of an answer. It removes empty queues of versions and of homes, of
+// which each configuration may bring new ones. The caller holds the lock.
 func (s *Scheduler) sortedQueues() []bergamotgrade.ServerSet {
 	sets := make([]bergamotgrade.ServerSet, 0, len(s.queues))
 	for servers, q := range s.queues {
-		if servers.OneVersion && q.Len() == 0 {
+		if (servers.OneVersion || !servers.Homes.IsAny()) && q.Len() == 0 {
 			delete(s.queues, servers)
 			continue
 		}
--- a/stream_origin.go
+++ b/stream_origin.go
@@ -14,7 +14,7 @@
 
 // Includes reports whether the set includes the server.
 func (s ServerSet) Includes(server ServerRecord) bool {
-	return s.Service == server.Service && (!s.OneVersion || s.SoftwareVersion == server.SoftwareVersion)
+	return s.Service == server.Service && (!s.OneVersion || s.SoftwareVersion == server.SoftwareVersion) && s.Homes.Includes(server.Region)
 }
 
 // StreamOrigin names the software that began a stream; the stream may go on there only.
@@ -31,13 +31,13 @@
 // IsZero reports whether the stream has not begun.
 func (o StreamOrigin) IsZero() bool { return o == StreamOrigin{} }
 
-// Servers returns the servers at which a stream may go on; for one that has not begun, these
-// are the servers of the service.
-func (o StreamOrigin) Servers(service string) ServerSet {
+// Servers returns the servers in the homes at which a stream may go on; for one that has not begun,
+// these are the servers of the service.
+func (o StreamOrigin) Servers(service string, homes Homes) ServerSet {
 	if o.IsZero() {
-		return ServerSet{Service: service}
+		return ServerSet{Service: service, Homes: homes}
 	}
-	return ServerSet{Service: o.Service, SoftwareVersion: o.SoftwareVersion, OneVersion: true}
+	return ServerSet{Service: o.Service, SoftwareVersion: o.SoftwareVersion, OneVersion: true, Homes: homes}
 }
 
 // StreamRecord says where the stream of a request began.
