Count the bytes that a VM sends to other data centres, by kind

Operators pay for traffic between data centres and could not see what causes it. The metric cross_data_centre_bytes{kind} counts requests to servers, status, store calls made for others, copies, records of streams and results. Calls between VMs now bear the caller's data centre, so that answers are counted too; a call or answer to another data centre is encoded once more to be measured. Metrics know groups whose keys are the values of a label.

--- a/entry/job_owner.go
+++ b/entry/job_owner.go
@@ -4,6 +4,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/jobs"
 )
 
 // RunnerFor implements jobs.Fleet by rendezvous hashing over the live VMs in the homes. Disk VMs are
@@ -89,3 +90,23 @@
 	m, registered := v.members[vmID]
 	return registered && m.Incarnation == incarnation
 }
+
+// IsRegistered implements jobs.ServiceFleet.
+func (n *Node) IsRegistered(servers bergamotgrade.ServerSet) bool {
+	for _, record := range n.serverRecords() {
+		if servers.Includes(record) {
+			return true
+		}
+	}
+	return false
+}
+
+// RunnerFor implements jobs.ServiceFleet.
+func (n *Node) RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64) {
+	return n.view.RunnerFor(jobID, homes, acceptedBy)
+}
+
+// bodyStore implements jobs.BodyStore.
+func (n *Node) bodyStore(head jobs.Head) bergamotgrade.KeyValue {
+	return n.kv.Within(head.HomesIn(n.view.Configuration()))
+}
--- a/entry/metrics.go
+++ b/entry/metrics.go
@@ -24,7 +24,9 @@
 	counters   map[string]int64
 	histograms map[string]*histogram
 	maps       map[string]*expvar.Map
-	gauges     map[string]func() int64
+	// labels holds the label of the groups of counters whose keys are values of a label.
+	labels map[string]string
+	gauges map[string]func() int64
 }
 
 type histogram struct {
@@ -35,7 +37,7 @@
 
 // NewMetrics returns empty metrics.
 func NewMetrics() *Metrics {
-	return &Metrics{counters: map[string]int64{}, histograms: map[string]*histogram{}, maps: map[string]*expvar.Map{}, gauges: map[string]func() int64{}}
+	return &Metrics{counters: map[string]int64{}, histograms: map[string]*histogram{}, maps: map[string]*expvar.Map{}, labels: map[string]string{}, gauges: map[string]func() int64{}}
 }
 
 // Count implements relay.Observer: it adds 1 to the named counter.
@@ -76,6 +78,14 @@
 	return group
 }
 
+// LabelledMap is like Map, for a group whose keys are the values of the label.
+func (m *Metrics) LabelledMap(name, label string) *expvar.Map {
+	m.mu.Lock()
+	m.labels[name] = label
+	m.mu.Unlock()
+	return m.Map(name)
+}
+
 // Gauge registers a gauge; value is called each time the metrics are read.
 func (m *Metrics) Gauge(name string, value func() int64) {
 	m.mu.Lock()
@@ -99,7 +109,13 @@
 		add(name+"_total", value)
 	}
 	for name, group := range m.maps {
-		group.Do(func(kv expvar.KeyValue) { add(name+"_"+kv.Key+"_total", kv.Value) })
+		group.Do(func(kv expvar.KeyValue) {
+			if label, ok := m.labels[name]; ok {
+				add(fmt.Sprintf("%s_total{%s=%q}", name, label, kv.Key), kv.Value)
+				return
+			}
+			add(name+"_"+kv.Key+"_total", kv.Value)
+		})
 	}
 	for name, value := range m.gauges {
 		add(name, value())
--- a/entry/node.go
+++ b/entry/node.go
@@ -49,6 +49,7 @@
 	repository    *jobs.Repository
 	runner        *jobs.Runner
 	callerHandler *platform.CallerHandler
+	crossing      crossing
 	mirrors       map[string]*follow.Mirror
 
 	// peerTasks holds short calls to peers; Run waits for them before it returns.
@@ -75,7 +76,9 @@
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
 	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, regionsOf(settings), log)
+	n.crossing = newCrossing(settings.DataCentre, n.metrics.LabelledMap("cross_data_centre_bytes", "kind"))
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
+	n.backend.OnSent(n.crossing.addRequest)
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
 	n.origins = origin.New(n.clock, n, log)
 	innerAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
@@ -83,7 +86,7 @@
 	n.gossip, err = gossip.New(gossip.Config{
 		VMID: settings.VMID, Incarnation: n.incarnation,
 		Self:   gossip.Peer{Address: innerAddress, DataCentre: settings.DataCentre, Weight: settings.Cores},
-		Status: n.status, Receive: n.handleReport, ReceiveStreams: n.origins.Receive, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), Log: log,
+		Status: n.status, Receive: n.handleReport, ReceiveStreams: n.origins.Receive, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), OnCrossing: n.crossing.addDatagrams, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -332,26 +335,6 @@
 	return n.servers
 }
 
-// IsRegistered implements jobs.ServiceFleet.
-func (n *Node) IsRegistered(servers bergamotgrade.ServerSet) bool {
-	for _, record := range n.serverRecords() {
-		if servers.Includes(record) {
-			return true
-		}
-	}
-	return false
-}
-
-// RunnerFor implements jobs.ServiceFleet.
-func (n *Node) RunnerFor(jobID string, homes bergamotgrade.Homes, acceptedBy string) (vmID string, incarnation int64) {
-	return n.view.RunnerFor(jobID, homes, acceptedBy)
-}
-
-// bodyStore implements jobs.BodyStore.
-func (n *Node) bodyStore(head jobs.Head) bergamotgrade.KeyValue {
-	return n.kv.Within(head.HomesIn(n.view.Configuration()))
-}
-
 func (n *Node) setMembers(entries map[string]bergamotgrade.Entry) {
 	n.view.setMembers(entries)
 	n.gossip.SetPeers(n.view.gossipPeers())
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -35,21 +35,25 @@
 
 // copyCall requests a copy of a prefix that is newer than a position.
 type copyCall struct {
+	peerCall
 	Prefix string          `json:"prefix"`
 	Than   follow.Position `json:"than"`
 }
 
 // resultsCall requests the stored results of a job from position From on.
 type resultsCall struct {
+	peerCall
 	JobID string `json:"job_id"`
 	From  int    `json:"from"`
 }
 
-// handlePeerCall answers the calls of other VMs.
-func (n *Node) handlePeerCall(ctx context.Context, method string, params *json.RawMessage) (any, error) {
-	if params == nil {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: "the call has no parameters"}
-	}
+// originCall asks where a stream began.
+type originCall struct {
+	peerCall
+	origin.Question
+}
+
+func (n *Node) answerPeerCall(ctx context.Context, method string, params *json.RawMessage) (any, error) {
 	switch method {
 	case methodCopy:
 		return vm.DecodeAndHandle(*params, func(call copyCall) any {
@@ -66,20 +70,23 @@
 	case methodResults:
 		return vm.DecodeAndHandle(*params, func(call resultsCall) any { return n.repository.CachedResults(call.JobID, call.From) })
 	case methodBucketLevels:
-		return vm.DecodeAndHandle(*params, func(struct{}) any { return n.view.bucketLevels() })
+		return vm.DecodeAndHandle(*params, func(peerCall) any { return n.view.bucketLevels() })
 	case methodStreamOrigin:
-		return vm.DecodeAndHandle(*params, func(question origin.Question) any { return n.origins.Answer(question) })
+		return vm.DecodeAndHandle(*params, func(call originCall) any { return n.origins.Answer(call.Question) })
 	}
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this VM does not know the method"}
 }
 
+// asCaller returns the part of the parameters of a call that says where this VM is.
+func (n *Node) asCaller() peerCall { return peerCall{CallerDataCentre: n.settings.DataCentre} }
+
 // peerStore implements follow.PeerStore.
 func (n *Node) peerStore(homes bergamotgrade.Homes) bergamotgrade.KeyValue {
 	address, ok := n.view.storePeer(homes)
 	if !ok {
 		return nil
 	}
-	return &storeProxy{peers: n.peers, address: address}
+	return &storeProxy{node: n, address: address}
 }
 
 // ownerResults implements jobs.OwnerResults. It returns nil if the owner is not alive or
@@ -91,7 +98,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerCallTimeout)
 	defer cancel()
-	results, err := vm.Call[[]jobs.Result](ctx, n.peers, address, methodResults, resultsCall{JobID: jobID, From: from})
+	results, err := callPeer[[]jobs.Result](ctx, n, address, methodResults, resultsCall{peerCall: n.asCaller(), JobID: jobID, From: from})
 	if err != nil {
 		n.log.Info("job owner returned no results; reading them from the store", "job", jobID, "owner", head.Owner, "cause", err.Error())
 		return nil
@@ -115,7 +122,7 @@
 	if !ok {
 		return origin.Answer{}, errors.Newf("VM %s is not registered", vmID)
 	}
-	return vm.Call[origin.Answer](ctx, n.peers, address, methodStreamOrigin, question)
+	return callPeer[origin.Answer](ctx, n, address, methodStreamOrigin, originCall{n.asCaller(), question})
 }
 
 // Source implements follow.Peers.
@@ -133,7 +140,7 @@
 
 // CopyFrom implements follow.Peers.
 func (n *Node) CopyFrom(ctx context.Context, address, prefix string, than follow.Position) (follow.Copy, error) {
-	return vm.Call[follow.Copy](ctx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Than: than})
+	return callPeer[follow.Copy](ctx, n, address, methodCopy, copyCall{peerCall: n.asCaller(), Prefix: prefix, Than: than})
 }
 
 // copyStates returns the copies that this VM announces: all of them if other VMs fetch from
@@ -168,7 +175,7 @@
 	}
 	for _, address := range sources {
 		callCtx, cancel := context.WithTimeout(ctx, peerCallTimeout)
-		copied, err := vm.Call[follow.Copy](callCtx, n.peers, address, methodCopy, copyCall{Prefix: prefix, Than: than})
+		copied, err := callPeer[follow.Copy](callCtx, n, address, methodCopy, copyCall{peerCall: n.asCaller(), Prefix: prefix, Than: than})
 		cancel()
 		if err == nil && copied.Revision > than.Revision {
 			return copied, true
@@ -186,7 +193,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), peerCallTimeout)
 	defer cancel()
-	levels, err := vm.Call[map[string]float64](ctx, n.peers, address, methodBucketLevels, struct{}{})
+	levels, err := callPeer[map[string]float64](ctx, n, address, methodBucketLevels, n.asCaller())
 	if err != nil {
 		n.log.Info("bucket levels of the teams cannot be fetched from a peer; the buckets fill from empty", "peer", vmID, "cause", err.Error())
 		return
--- a/entry/store_proxy.go
+++ b/entry/store_proxy.go
@@ -8,12 +8,12 @@
 	"github.com/sourcegraph/jsonrpc2"
 
 	"github.com/bergamotgrade/bergamotgrade"
-	"github.com/bergamotgrade/bergamotgrade/vm"
 )
 
 // storeCall is one call to the platform's store that a peer makes for the calling VM.
 // Exactly one operation is set; Keep and End hold the id of a lease.
 type storeCall struct {
+	peerCall
 	Read     string                   `json:"read,omitempty"`
 	Range    string                   `json:"range,omitempty"`
 	Stale    bool                     `json:"stale,omitempty"`
@@ -64,7 +64,7 @@
 
 // storeProxy is the platform's store, called through another VM.
 type storeProxy struct {
-	peers   *vm.Peers
+	node    *Node
 	address string
 }
 
@@ -73,7 +73,8 @@
 func (s *storeProxy) call(ctx context.Context, call storeCall) (storeAnswer, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeProxyTimeout)
 	defer cancel()
-	answer, err := vm.Call[storeAnswer](ctx, s.peers, s.address, methodStore, call)
+	call.peerCall = s.node.asCaller()
+	answer, err := callPeer[storeAnswer](ctx, s.node, s.address, methodStore, call)
 	var refusal *jsonrpc2.Error
 	switch {
 	case errors.As(err, &refusal):
--- a/entry/view.go
+++ b/entry/view.go
@@ -192,6 +192,19 @@
 	return addresses
 }
 
+// dataCentreAt returns the data centre of the registered VM with the inner address; "" if it is not
+// known.
+func (v *view) dataCentreAt(address string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, m := range v.members {
+		if m.InnerAddress == address {
+			return m.DataCentre
+		}
+	}
+	return ""
+}
+
 // keepers returns up to most other VMs in the order of their rendezvous hash scores for the key:
 // the registered ones, or of these only those that are alive and not leaving.
 func (v *view) keepers(key uint64, most int, live bool) []string {
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -47,9 +47,21 @@
 	// it is called with the batch runs of its VMs.
 	Preempt func(runs []bergamotgrade.BatchRuns) []bergamotgrade.BatchRuns
 	Metrics *expvar.Map
-	Log     *slog.Logger
+	// OnCrossing is called with the number of bytes that are sent to other data centres, and what
+	// they carry; nil if nobody counts them.
+	OnCrossing func(content Content, bytes int)
+	Log        *slog.Logger
 }
 
+// Content is what a datagram carries.
+type Content int
+
+// The contents of datagrams.
+const (
+	ContentStatus Content = iota
+	ContentStreams
+)
+
 // Node reports this VM's status to the hubs of its data centre, receives digests, and acts
 // as a hub while other VMs report to it.
 type Node struct {
@@ -327,6 +339,7 @@
 		return
 	}
 	n.send(data, remote)
+	n.countCrossing(ContentStatus, len(remote)*len(data))
 	n.wait(ctx, n.remoteLimiter, len(remote))
 }
 
@@ -384,6 +397,15 @@
 			return
 		}
 		n.send(data, []*net.UDPAddr{to.address})
+		if to.dataCentre != n.config.Self.DataCentre {
+			n.countCrossing(ContentStreams, len(data))
+		}
+	}
+}
+
+func (n *Node) countCrossing(content Content, bytes int) {
+	if n.config.OnCrossing != nil {
+		n.config.OnCrossing(content, bytes)
 	}
 }
 
