Tests of homes; store calls with bodies prefer peers in the homes

Without a network: selection, queues and batch starts by homes, owners of jobs, peers for store calls, homes of stored heads, refusals of jobs that no server can run, owners outside the homes. With real nodes in two regions: online requests, homes of teams and routes, with an empty intersection, a batch job accepted outside its homes, a VM without store, and the return of a job to its homes. A VM that is cut off now asks peers in the homes before those in its own region: the client may be in another region than the VM that it connected to.

--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -30,6 +30,8 @@
 	// started holds all VMs that were started.
 	started []*testNode
 	version int
+	// regions holds the region of each data centre; nil if it is unknown.
+	regions map[string]string
 }
 
 // testNode is one running VM.
@@ -82,7 +84,12 @@
 
 // addEngineOf adds an engine with a version of its software.
 func (f *testFleet) addEngineOf(id, version string) *standin.Engine {
-	engine := standin.NewEngine(standin.EngineConfig{ServerID: id, Service: "svc", DataCentre: "here", Version: version, Slots: 4, EventTime: 10 * time.Millisecond})
+	return f.addEngineIn(id, version, "here")
+}
+
+// addEngineIn adds an engine in the data centre.
+func (f *testFleet) addEngineIn(id, version, dataCentre string) *standin.Engine {
+	engine := standin.NewEngine(standin.EngineConfig{ServerID: id, Service: "svc", DataCentre: dataCentre, Version: version, Slots: 4, EventTime: 10 * time.Millisecond})
 	f.write(engine.RegistryWrite(f.serve(engine), "ready"))
 	f.engines[id] = engine
 	return engine
@@ -95,9 +102,14 @@
 
 // addVMAt starts a VM that reaches the store at the address.
 func (f *testFleet) addVMAt(number int, takesCallers bool, storeAddress string) *testNode {
+	return f.addVMIn(number, takesCallers, "here", storeAddress)
+}
+
+// addVMIn starts a VM in the data centre that reaches the store at the address.
+func (f *testFleet) addVMIn(number int, takesCallers bool, dataCentre, storeAddress string) *testNode {
 	ip := fmt.Sprintf("127.0.77.%d", number)
 	settings := bergamotgrade.NodeSettings{
-		VMID: fmt.Sprintf("vm%d", number), DataCentre: "here", IP: ip, InnerPort: 17360, StoreAddress: storeAddress,
+		VMID: fmt.Sprintf("vm%d", number), DataCentre: dataCentre, Region: f.regions[dataCentre], Regions: f.regions, IP: ip, InnerPort: 17360, StoreAddress: storeAddress,
 		StopGrace: 8 * time.Second, StoreLeaseMin: time.Second, StoreValueBytes: 1 << 20, ResultRetention: time.Minute, Seeds: []string{"127.0.77.1"},
 	}
 	if takesCallers {
--- a/entry/source.go
+++ b/entry/source.go
@@ -60,17 +60,31 @@
 	return addresses
 }
 
-// storePeer returns the inner address of a VM that reaches the store and may see data with the homes.
-// Rendezvous hashing spreads the VMs over such peers. A VM that has just started and has received no
-// gossip message tries the registered VMs, a different one each second.
+// storePeer returns the inner address of a VM that reaches the store and may see data with the homes,
+// one in the homes if there is any.
 func (v *view) storePeer(homes bergamotgrade.Homes) (address string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	now, best := v.clock.Now(), uint64(0)
+	now := v.clock.Now()
+	inHomes := func(dataCentre string) bool { return homes.Includes(v.regions.of(dataCentre)) }
+	mayCarry := func(dataCentre string) bool { return v.regions.mayCarry(dataCentre, homes) }
+	for _, isAllowed := range []func(dataCentre string) bool{inHomes, mayCarry} {
+		if address, ok = v.storePeerAt(now, isAllowed); ok {
+			return address, true
+		}
+	}
+	return "", false
+}
+
+// storePeerAt returns the inner address of a VM that reaches the store, in an allowed data centre.
+// Rendezvous hashing spreads the VMs over such peers. A VM that has just started and has received no
+// gossip message tries the registered VMs, a different one each second. The caller holds the lock.
+func (v *view) storePeerAt(now time.Time, isAllowed func(dataCentre string) bool) (address string, ok bool) {
+	best := uint64(0)
 	if !v.seenSelf && len(v.peers) == 0 {
 		second := now.Unix()
 		for id, m := range v.members {
-			if !v.regions.mayCarry(m.DataCentre, homes) {
+			if !isAllowed(m.DataCentre) {
 				continue
 			}
 			if score := xxhash.Sum64String(fmt.Sprint(second, "/", id)); !ok || score > best {
@@ -79,10 +93,10 @@
 		}
 		return address, ok
 	}
-	local := v.regions.mayCarry(v.regions.own, homes) && v.prefersLocalStore(now)
+	local := isAllowed(v.regions.own) && v.prefersLocalStore(now)
 	for id, p := range v.peers {
 		m, registered := v.members[id]
-		if !registered || !p.reachesStore(now) || !v.regions.mayCarry(m.DataCentre, homes) || local && m.DataCentre != v.regions.own {
+		if !registered || !p.reachesStore(now) || !isAllowed(m.DataCentre) || local && m.DataCentre != v.regions.own {
 			continue
 		}
 		if score := xxhash.Sum64String(v.self + "/" + id); !ok || score > best {
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -209,11 +209,6 @@
 
 func (vm *testVM) Configuration() *bergamotgrade.FleetConfiguration { return vm.fleet.config }
 
-// anyVM returns a BodyStore whose calls may pass through any VM.
-func anyVM(kv bergamotgrade.KeyValue) BodyStore {
-	return func(Head) bergamotgrade.KeyValue { return kv }
-}
-
 func (vm *testVM) RunnerFor(_ string, homes bergamotgrade.Homes, acceptedBy string) (string, int64) {
 	vm.fleet.mu.Lock()
 	defer vm.fleet.mu.Unlock()
@@ -225,16 +220,6 @@
 	return acceptedBy, vm.fleet.alive[acceptedBy]
 }
 
-// IsOutside implements Fleet; the region of a VM is "region-" and its name.
-func (vm *testVM) IsOutside(name string, homes bergamotgrade.Homes) bool {
-	return !homes.Includes("region-" + name)
-}
-
-// IsRegistered implements ServiceFleet; servers are in the region "servers".
-func (vm *testVM) IsRegistered(servers bergamotgrade.ServerSet) bool {
-	return servers.Homes.Includes("servers")
-}
-
 func (vm *testVM) RunnerAlive(name string, incarnation int64) bool {
 	vm.fleet.mu.Lock()
 	defer vm.fleet.mu.Unlock()
