Soak: the safe route is bound to one of two regions

The stand-in's settings file names the regions of the data centres. The checker reports a request of the safe route that ran at an engine of another region (HOMES).

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -288,6 +288,8 @@
 		c.addViolation("UNASKED", fmt.Sprintf("request %s was never sent", run.RequestID))
 	case item != nil && item.refused && !item.accepted:
 		c.addViolation("REFUSED", fmt.Sprintf("item %s ran although all submissions of its job were refused", run.RequestID))
+	case known && strings.HasPrefix(o.path, standin.SafePath) && e.region != homeRegion:
+		c.addViolation("HOMES", fmt.Sprintf("request %s ran in %s, outside its homes", run.RequestID, e.region))
 	case known && !routeAllows(o.path, e.service), item != nil && e.service != serviceOne:
 		c.addViolation("ROUTE", fmt.Sprintf("request %s ran at service %s, which its route excludes", run.RequestID, e.service))
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -36,6 +36,7 @@
 type engine struct {
 	*standin.Engine
 	service string
+	region  string
 	// address is the engine's own address; the registry holds the address of the proxy.
 	address string
 	proxy   *tcpproxy.Proxy
@@ -88,7 +89,7 @@
 		if err != nil {
 			return f, err
 		}
-		f.engines = append(f.engines, &engine{Engine: standinEngine, service: service, address: address, proxy: proxy})
+		f.engines = append(f.engines, &engine{Engine: standinEngine, service: service, region: size.regions()[size.engineDataCentre(i)], address: address, proxy: proxy})
 		f.registerEngine(i, "ready")
 	}
 	f.writeNextConfiguration()
@@ -100,7 +101,7 @@
 		}
 		f.storeProxies = append(f.storeProxies, proxy)
 		vm := &process{binary: binary, folder: folder, onUnexpectedExit: checker.reportExit, settings: standin.Settings{
-			VMID: fmt.Sprint("vm", i), DataCentre: size.dataCentre(i), ServesCallers: i < size.entryVMs, StoreAddress: proxy.Address(),
+			VMID: fmt.Sprint("vm", i), DataCentre: size.dataCentre(i), Regions: size.regions(), ServesCallers: i < size.entryVMs, StoreAddress: proxy.Address(),
 			IP: vmAddress(pid, number, size.vms(), i),
 		}}
 		f.vms = append(f.vms, vm)
@@ -183,6 +184,7 @@
 			c.Routes[i].Services = map[string]int{serviceTwo: 1}
 		case standin.SafePath:
 			c.Routes[i].Services = map[string]int{serviceOne: 3, serviceTwo: 1}
+			c.Routes[i].HomeRegions = []string{homeRegion}
 		}
 	}
 	c.Teams = append(c.Teams, standin.Team{Name: limitedTeam, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst})
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -105,6 +105,18 @@
 	return fmt.Sprint("dc", n/2%max(1, s.dataCentres-1))
 }
 
+// homeRegion is the region to which the safe route is bound.
+const homeRegion = "region0"
+
+// regions returns the region of each data centre; there are at most two.
+func (s fleetSize) regions() map[string]string {
+	regions := map[string]string{}
+	for n := range s.dataCentres {
+		regions[s.dataCentre(n)] = fmt.Sprint("region", n%2)
+	}
+	return regions
+}
+
 // newPlan returns the faults of a seed, sorted by start. Faults of different targets may
 // overlap in time, faults of the same target do not.
 func newPlan(seed uint64, size fleetSize, length time.Duration) []fault {
