--- a/entry/evacuation_test.go
+++ b/entry/evacuation_test.go
@@ -54,7 +54,7 @@
 	vmStore := standin.NewStoreServer(f.store)
 	vms = append(vms, f.addVMAt(2, true, f.serve(vmStore)))
 	f.addVM(3, false)
-	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := vms[1].view.storePeer(); return ok })
+	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := vms[1].view.storePeer(bergamotgrade.Homes{}); return ok })
 	vmStore.SetFaults(standin.StoreFaults{Down: true})
 	f.waitFor("VM detects that it does not reach the store", 3*time.Second, vms[1].kv.Unreachable)
 
@@ -114,7 +114,7 @@
 	first = restart(first, 1)
 	assertServed(t, first, "restarted", 20)
 	f.store.Compact()
-	f.waitFor("VMs hear of each other", 3*time.Second, func() bool { _, ok := second.view.storePeer(); return ok })
+	f.waitFor("VMs hear of each other", 3*time.Second, func() bool { _, ok := second.view.storePeer(bergamotgrade.Homes{}); return ok })
 	f.server.SetFaults(standin.StoreFaults{Down: true})
 	// The second VM, whose seeds name the first, starts while no VM reaches the store.
 	second.stop()
--- a/entry/fleet_start_test.go
+++ b/entry/fleet_start_test.go
@@ -27,7 +27,7 @@
 		{"the others are older", 10 * time.Second, []string{"vm1", "vm2", "vm3", "vm4"}, false},
 	} {
 		own := int64(time.Hour)
-		v := newView(bergamotgrade.SystemClock{}, "vm1", own, true, limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		v := newView(bergamotgrade.SystemClock{}, "vm1", own, true, regions{}, limit.Tolerance{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		write, err := standin.NewConfiguration(1, "svc", "k").Write()
 		qt.Assert(t, err, qt.IsNil)
 		v.setConfiguration(bergamotgrade.Entry{Key: write.Key, Value: write.Value, Revision: 1})
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -34,6 +35,8 @@
 	// coldStart and coldPerSecond are those of the next configuration.
 	coldStart     time.Duration
 	coldPerSecond float64
+	// regions holds the region of each data centre; nil if it is unknown.
+	regions map[string]string
 }
 
 // testNode is one running VM.
@@ -91,6 +94,11 @@
 	return f.addEngineWith(standin.EngineConfig{ServerID: id, Version: version})
 }
 
+// addEngineIn adds an engine in the data centre.
+func (f *testFleet) addEngineIn(id, version, dataCentre string) *standin.Engine {
+	return f.addEngineWith(standin.EngineConfig{ServerID: id, Version: version, DataCentre: dataCentre})
+}
+
 // addEngineWith adds an engine; unset fields of the configuration are filled in.
 func (f *testFleet) addEngineWith(config standin.EngineConfig) *standin.Engine {
 	id := config.ServerID
@@ -102,6 +110,12 @@
 	return engine
 }
 
+// loopbackIP returns the address of the VM with the number. Each test process has a network of its own,
+// so that several can run at a time on one machine.
+func loopbackIP(number int) string {
+	return fmt.Sprintf("127.%d.%d.%d", 64+os.Getpid()/250%128, os.Getpid()%250, number)
+}
+
 // addVM starts a VM on a loopback address of its own.
 func (f *testFleet) addVM(number int, takesCallers bool) *testNode {
 	return f.addVMAt(number, takesCallers, f.address)
@@ -109,10 +123,15 @@
 
 // addVMAt starts a VM that reaches the store at the address.
 func (f *testFleet) addVMAt(number int, takesCallers bool, storeAddress string) *testNode {
-	ip := fmt.Sprintf("127.0.77.%d", number)
+	return f.addVMIn(number, takesCallers, "here", storeAddress)
+}
+
+// addVMIn starts a VM in the data centre that reaches the store at the address.
+func (f *testFleet) addVMIn(number int, takesCallers bool, dataCentre, storeAddress string) *testNode {
+	ip := loopbackIP(number)
 	settings := bergamotgrade.NodeSettings{
-		VMID: fmt.Sprintf("vm%d", number), DataCentre: "here", IP: ip, InnerPort: 17360, StoreAddress: storeAddress,
-		StopGrace: 8 * time.Second, StoreLeaseMin: time.Second, StoreValueBytes: 1 << 20, ResultRetention: time.Minute, Seeds: []string{"127.0.77.1"},
+		VMID: fmt.Sprintf("vm%d", number), DataCentre: dataCentre, Region: f.regions[dataCentre], Regions: f.regions, IP: ip, InnerPort: 17360, StoreAddress: storeAddress,
+		StopGrace: 8 * time.Second, StoreLeaseMin: time.Second, StoreValueBytes: 1 << 20, ResultRetention: time.Minute, Seeds: []string{loopbackIP(1)},
 	}
 	if takesCallers {
 		settings.CallerAddress, settings.ReadyAddress = net.JoinHostPort(ip, "18689"), net.JoinHostPort(ip, "18687")
@@ -268,7 +287,7 @@
 	vms := []*testNode{f.addVM(1, true), f.addVM(2, true)}
 	disk := f.addVM(3, false)
 	f.waitFor("callers' VM has chosen the disk VM as runner", 3*time.Second, func() bool {
-		owner, _ := vms[0].view.RunnerFor("j")
+		owner, _ := vms[0].view.RunnerFor("j", bergamotgrade.Homes{}, "vm1")
 		return owner == "vm3"
 	})
 	var ids []string
@@ -364,7 +383,7 @@
 	f.addVM(1, true)
 	vmStore := standin.NewStoreServer(f.store)
 	cutOff := f.addVMAt(2, true, f.serve(vmStore))
-	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(); return ok })
+	f.waitFor("VM knows a peer that reaches the store", 3*time.Second, func() bool { _, ok := cutOff.view.storePeer(bergamotgrade.Homes{}); return ok })
 	vmStore.SetFaults(standin.StoreFaults{Down: true})
 	f.waitFor("VM detects that it does not reach the store", 3*time.Second, cutOff.kv.Unreachable)
 	f.configure("k2")
--- a/entry/node.go
+++ b/entry/node.go
@@ -50,6 +50,7 @@
 	repository    *jobs.Repository
 	runner        *jobs.Runner
 	callerHandler *platform.CallerHandler
+	crossing      crossing
 	mirrors       map[string]*follow.Mirror
 
 	// peerTasks holds short calls to peers; Run waits for them before it returns.
@@ -78,8 +79,10 @@
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
 	tolerance := limit.Tolerance{Window: settings.RateWindow, Overshoot: settings.RateOvershoot, Slack: settings.RateSlack}
-	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, tolerance, log)
+	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, regionsOf(settings), tolerance, log)
+	n.crossing = newCrossing(settings.DataCentre, n.metrics.LabelledMap("cross_data_centre_bytes", "kind"))
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
+	n.backend.OnSent(n.crossing.addRequest)
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
 	n.origins = origin.New(n.clock, n, log)
 	innerAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
@@ -87,7 +90,7 @@
 	n.gossip, err = gossip.New(gossip.Config{
 		VMID: settings.VMID, Incarnation: n.incarnation,
 		Self:   gossip.Peer{Address: innerAddress, DataCentre: settings.DataCentre, Weight: settings.Cores},
-		Status: n.status, Receive: n.handleReport, ReceiveStreams: n.origins.Receive, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), Log: log,
+		Status: n.status, Receive: n.handleReport, ReceiveStreams: n.origins.Receive, Preempt: n.limitBatch, Metrics: n.metrics.Map("gossip"), OnCrossing: n.crossing.addDatagrams, Log: log,
 	})
 	if err != nil {
 		return nil, err
@@ -99,8 +102,8 @@
 		self: member{VMID: settings.VMID, Incarnation: n.incarnation, InnerAddress: innerAddress, DataCentre: settings.DataCentre, Callers: takesCallers, Cores: settings.Cores},
 	}
 	n.headCache = jobs.NewHeadCache(log)
-	n.repository = jobs.NewRepository(n.kv, n.headCache, settings.StoreValueBytes, n.ownerResults)
-	service := jobs.NewService(n.clock, n.repository, n.headCache, n.view.RunnerFor, n.refreshHeads, log)
+	n.repository = jobs.NewRepository(n.kv, n.bodyStore, n.headCache, settings.StoreValueBytes, n.ownerResults)
+	service := jobs.NewService(n.clock, settings.VMID, n.repository, n.headCache, n, n.refreshHeads, log)
 	exchanger := relay.NewObservingExchanger(n.backend, n.scheduler, log)
 	n.guard = quarantine.New(quarantine.Config{Clock: n.clock, VMID: settings.VMID, Store: n.kv, Prober: quarantine.NewDialProber(), VMs: n.view.liveVMs, Log: log})
 	n.runner = jobs.NewRunner(jobs.Config{
--- a/entry/store_probe_test.go
+++ b/entry/store_probe_test.go
@@ -22,7 +22,7 @@
 	}
 	often := 0
 	for _, id := range ids {
-		v := newView(bergamotgrade.SystemClock{}, id, 1, true, limit.Tolerance{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
+		v := newView(bergamotgrade.SystemClock{}, id, 1, true, regions{}, limit.Tolerance{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 		qt.Check(t, v.probePause(false) < probeInterval, qt.IsTrue, qt.Commentf("VM that hears of no others"))
 		v.recordReport(reportOf(ids...))
 		if v.probePause(false) < probeInterval {
--- a/entry/view.go
+++ b/entry/view.go
@@ -47,6 +47,7 @@
 	takesCallers bool
 	startedAt    time.Time
 	log          *slog.Logger
+	regions      regions
 
 	mu                sync.Mutex
 	configuration     *bergamotgrade.FleetConfiguration
@@ -63,9 +64,9 @@
 	seenSelf bool
 }
 
-func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, tolerance limit.Tolerance, log *slog.Logger) *view {
+func newView(clock bergamotgrade.Clock, self string, incarnation int64, takesCallers bool, regions regions, tolerance limit.Tolerance, log *slog.Logger) *view {
 	return &view{
-		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log,
+		clock: clock, self: self, incarnation: incarnation, takesCallers: takesCallers, startedAt: clock.Now(), log: log, regions: regions,
 		members: map[string]member{}, peers: map[string]peer{}, copies: map[copyID]announcedCopy{}, limiter: limit.NewFleetLimiter(tolerance),
 	}
 }
@@ -193,6 +194,19 @@
 	return addresses
 }
 
+// dataCentreAt returns the data centre of the registered VM with the inner address; "" if it is not
+// known.
+func (v *view) dataCentreAt(address string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, m := range v.members {
+		if m.InnerAddress == address {
+			return m.DataCentre
+		}
+	}
+	return ""
+}
+
 // keepers returns up to most other VMs in the order of their rendezvous hash scores for the key:
 // the registered ones, or of these only those that are alive and not leaving.
 func (v *view) keepers(key uint64, most int, live bool) []string {
--- a/follow/outage_calls_test.go
+++ b/follow/outage_calls_test.go
@@ -19,7 +19,7 @@
 func TestCallsSuspendedInOutage(t *testing.T) {
 	clock := scripttest.NewClock()
 	store := &disconnectableStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}
-	s := NewMonitoredStore(store, clock, func() bergamotgrade.KeyValue { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	s := NewMonitoredStore(store, clock, func(bergamotgrade.Homes) bergamotgrade.KeyValue { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	ctx := context.Background()
 	watch := func() error {
 		_, _, err := s.Changes(ctx, "servers/", 0, time.Millisecond)
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -56,16 +56,16 @@
 	ctx context.Context
 }
 
-// servers returns the servers at which the item may run, whose route leads to the service. An
+// servers returns the servers in the homes at which the item may run, whose route leads to the service. An
 // item whose output cannot go on, because no server of its origin is left, starts anew.
-func (i *ownedItem) servers(service string) bergamotgrade.ServerSet {
+func (i *ownedItem) servers(service string, homes bergamotgrade.Homes) bergamotgrade.ServerSet {
 	i.job.mu.Lock()
 	defer i.job.mu.Unlock()
-	servers := i.origin.Servers(service)
+	servers := i.origin.Servers(service, homes)
 	if i.running || i.origin.IsZero() || servers.Service == service && i.job.runner.scheduler.HasServer(servers) {
 		return servers
 	}
-	anew := bergamotgrade.ServerSet{Service: service}
+	anew := bergamotgrade.ServerSet{Service: service, Homes: homes}
 	if !i.job.runner.scheduler.HasServer(anew) {
 		return servers // as while all data centres of the service are evacuated
 	}
