--- a/entry/homes_test.go
+++ b/entry/homes_test.go
@@ -228,11 +228,12 @@
 
 	// A VM that does not reach the store makes its calls through the homes and its own region only.
 	vmStore := standin.NewStoreServer(f.store)
-	cutOff := f.addVMIn(5, true, "near", f.serve(vmStore))
+	cutOff := f.addVMIn(6, true, "near", f.serve(vmStore)) // its calls without a body go through vm2
 	vmStore.SetFaults(standin.StoreFaults{Down: true})
 	f.waitFor("VM knows that it is cut off, and a peer", 3*time.Second, func() bool {
 		_, ok := cutOff.view.storePeer(bergamotgrade.NewHomes("eu"))
-		return ok && cutOff.kv.Unreachable()
+		any, _ := cutOff.view.storePeer(bergamotgrade.Homes{})
+		return ok && cutOff.view.dataCentreAt(any) == "far" && cutOff.kv.Unreachable()
 	})
 	before := usBodies.count.Load()
 	qt.Check(t, submit(cutOff, "any", "proxied").Status, qt.Equals, http.StatusAccepted)
