--- a/entry/newest_copy_test.go
+++ b/entry/newest_copy_test.go
@@ -3,12 +3,15 @@
 import (
 	"context"
 	"encoding/json"
+	"log/slog"
 	"net"
 	"testing"
 
 	qt "github.com/frankban/quicktest"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/follow"
+	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/vm"
 )
 
@@ -28,7 +31,8 @@
 		sources = append(sources, listener.Addr().String())
 	}
 	sources = append(sources, "127.0.0.1:1")
-	n := &Node{peers: vm.NewPeers("", NewMetrics().Map("inner"))}
+	log := slog.New(slog.DiscardHandler)
+	n := &Node{peers: vm.NewPeers("", NewMetrics().Map("inner")), view: newView(bergamotgrade.SystemClock{}, "vm1", 1, true, regions{}, limit.Tolerance{}, log)}
 	copied, ok := n.newestCopy(ctx, "op/", sources)
 	qt.Assert(t, ok, qt.IsTrue)
 	qt.Assert(t, copied.Revision, qt.Equals, int64(9))
