--- a/relay/admission.go
+++ b/relay/admission.go
@@ -15,6 +15,8 @@
 // waiter is a waiting request; result receives its slot, or nil if there can be none.
 type waiter struct {
 	criteria placement.Criteria
+	queue    *queue.Fair
+	item     *queue.Item
 	result   chan *Slot
 }
 
@@ -40,21 +42,30 @@
 // request would start too late or the queue is full, both with a retry time, and a
 // KindDeadlineExceeded error if no slot is released before the deadline.
 func (s *Scheduler) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
+	slot, w, err := s.enter(request)
+	if slot != nil || err != nil {
+		return slot, err
+	}
+	return s.await(ctx, w)
+}
+
+// enter returns a slot, or the waiter of a request that has to wait. It does not block.
+func (s *Scheduler) enter(request SlotRequest) (*Slot, *waiter, error) {
 	s.mu.Lock()
 	now := s.clock.Now()
 	if !s.selector.HasServer(request.Servers) {
 		s.mu.Unlock()
-		return nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
+		return nil, nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
 	q := s.queue(request.Servers)
-	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
+	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random()}
 	if q.Len() == 0 {
 		if server, ok := s.selector.Pick(now, criteria); ok {
 			slot := s.start(now, server, placement.Online)
 			s.preemptOwn()
 			s.mu.Unlock()
 			s.onLoad()
-			return slot, nil
+			return slot, nil, nil
 		}
 	}
 	wait := s.selector.ExpectedWait(request.Servers, q.Len(), s.vms)
@@ -63,17 +74,17 @@
 		WithCause(errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait))
 	if request.RejectIfLate && now.Add(wait).After(request.LatestStart) {
 		s.mu.Unlock()
-		return nil, overloaded
+		return nil, nil, overloaded
 	}
 	item := &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: queue.ClassOnline, Deadline: request.Deadline}
 	if !q.Push(item) {
 		s.mu.Unlock()
-		return nil, overloaded
+		return nil, nil, overloaded
 	}
-	w := &waiter{criteria: criteria, result: make(chan *Slot, 1)}
+	w := &waiter{criteria: criteria, queue: q, item: item, result: make(chan *Slot, 1)}
 	s.waiters[item] = w
 	s.mu.Unlock()
-	return s.await(ctx, q, item, w)
+	return nil, w, nil
 }
 
 // jitteredDelay adds up to 50 % of random jitter to the delay, so that rejected callers
@@ -91,9 +102,9 @@
 	return bergamotgrade.NewError(bergamotgrade.KindOverloaded, "all backend servers of the service are busy for longer than the request may take", "try again after the time in Retry-After")
 }
 
-// await waits until the queued item gets a slot, its deadline passes or ctx ends.
-func (s *Scheduler) await(ctx context.Context, q *queue.Fair, item *queue.Item, w *waiter) (*Slot, error) {
-	timer := time.NewTimer(item.Deadline.Sub(s.clock.Now()))
+// await waits until the request gets a slot, its deadline passes or ctx ends.
+func (s *Scheduler) await(ctx context.Context, w *waiter) (*Slot, error) {
+	timer := time.NewTimer(w.item.Deadline.Sub(s.clock.Now()))
 	defer timer.Stop()
 	select {
 	case slot := <-w.result:
@@ -105,8 +116,8 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	waiting := q.Remove(item)
-	delete(s.waiters, item)
+	waiting := w.queue.Remove(w.item)
+	delete(s.waiters, w.item)
 	s.mu.Unlock()
 	if !waiting {
 		select {
--- a/relay/batch_slot.go
+++ b/relay/batch_slot.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -20,7 +19,7 @@
 		s.mu.Unlock()
 		return nil, nil, false
 	}
-	server, ok := s.selector.Pick(now, placement.Criteria{Servers: servers, Class: placement.Batch, Avoid: avoid, Hash: rand.Uint64()})
+	server, ok := s.selector.Pick(now, placement.Criteria{Servers: servers, Class: placement.Batch, Avoid: avoid, Hash: s.random()})
 	if !ok {
 		s.mu.Unlock()
 		return nil, nil, false
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -19,6 +20,8 @@
 	clock bergamotgrade.Clock
 	// onLoad is called after each change of this VM's load; it must not block.
 	onLoad func()
+	// random returns a random number that breaks ties between servers.
+	random func() uint64
 
 	mu       sync.Mutex
 	selector *placement.Selector
@@ -37,7 +40,7 @@
 // this VM's load; onLoad must not block.
 func NewScheduler(clock bergamotgrade.Clock, selector *placement.Selector, onLoad func()) *Scheduler {
 	return &Scheduler{
-		clock: clock, onLoad: onLoad, selector: selector, vms: 1,
+		clock: clock, onLoad: onLoad, random: rand.Uint64, selector: selector, vms: 1,
 		queues:        map[bergamotgrade.ServerSet]*queue.Fair{},
 		waiters:       map[*queue.Item]*waiter{},
 		batch:         map[*Slot]context.CancelCauseFunc{},
