Status and digests tell the work that teams ask for; tests of admission; metrics and log of scarcity

Cause: a VM knew only the work that it is asked for itself, so shares would end at each VM. Hubs add up; a VM takes its own part out. entry passes them on, counts the registered VMs, and logs services that enter or leave scarcity.

--- a/entry/node.go
+++ b/entry/node.go
@@ -60,6 +60,8 @@
 	// retirementConfirmed once the confirmation is in the store.
 	retiring            bool
 	retirementConfirmed bool
+	// scarce tells which services were in scarcity at the last maintenance round; only that uses it.
+	scarce map[string]bool
 	// invalidServers holds the keys of registry entries that were logged as invalid, and
 	// their last revisions.
 	invalidServers map[string]int64
@@ -70,7 +72,7 @@
 func New(settings bergamotgrade.NodeSettings, metricsPort int, log *slog.Logger) (*Node, error) {
 	n := &Node{
 		settings: settings, metricsPort: metricsPort, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
-		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
+		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, scarce: map[string]bool{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
@@ -132,6 +134,7 @@
 	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { parts, _ := n.guard.Quarantined(); return int64(parts) })
 	n.metrics.Gauge("requests_quarantined", func() int64 { _, requests := n.guard.Quarantined(); return int64(requests) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
+	n.registerShareGauges()
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
 
@@ -155,6 +158,7 @@
 		Suspects: n.scheduler.Suspects(),
 		Copies:   n.copyStates(),
 		Leaving:  n.leavingServers(),
+		Asked:    gossip.EncodeWork(n.scheduler.Asked()),
 	}
 	for _, heard := range n.scheduler.Rates() {
 		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
@@ -183,6 +187,7 @@
 		return // limits only
 	}
 	counts := n.view.recordReport(report)
+	n.scheduler.SetAsked(report.DataCentre, callersOf(report), report.Asked)
 	rates := make([]bergamotgrade.ServerRate, 0, len(report.Rates))
 	for _, heard := range report.Rates {
 		rates = append(rates, bergamotgrade.ServerRate{
@@ -484,6 +489,7 @@
 		case <-ticker.C:
 		}
 		n.scheduler.ExpirePeers()
+		n.updateShares()
 		n.confirmRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
--- a/entry/view.go
+++ b/entry/view.go
@@ -134,6 +134,14 @@
 	return v.leaving
 }
 
+// registeredCallers returns the number of registered VMs that take callers' requests, this VM included if it does.
+func (v *view) registeredCallers() int {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, registered := v.limiter.VMCounts(v.clock.Now())
+	return registered
+}
+
 // setLeaving marks this VM as stopping or being retired.
 func (v *view) setLeaving() {
 	v.mu.Lock()
--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -19,6 +19,8 @@
 	// and hubs get these at once.
 	fullStatusInterval = time.Second
 	fullDigestInterval = 3 * time.Second
+	// askedInterval is the pause between two messages with the work that teams ask for, which decays within a second.
+	askedInterval = 200 * time.Millisecond
 	// listedTimeout is how long a VM counts as listed by the hubs after the last digest that
 	// lists it.
 	listedTimeout = 700 * time.Millisecond
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -45,6 +45,9 @@
 // audienceState is what decides which parts a digest may omit.
 type audienceState struct {
 	counts recentCounts
+	// askedSentAt is when a digest last held the work asked for, askedSent whether there was any.
+	askedSentAt time.Time
+	askedSent   bool
 	// fullRequested is set if the next digest has to hold the roster and all counts.
 	fullRequested bool
 }
@@ -57,6 +60,8 @@
 	address *net.UDPAddr
 	// admitted holds the last known counts of the VM; nil until it has sent all of them.
 	admitted map[string]uint64
+	// asked is the last work that the VM has sent.
+	asked []ServiceWork
 }
 
 func newHub(dataCentre, hubID string, incarnation int64) *hub {
@@ -84,6 +89,11 @@
 	if h.addCounts(record, status) {
 		changed = true
 	}
+	if status.Asked != nil {
+		record.asked = status.Asked
+	} else if known && record.status.VM.Incarnation < status.VM.Incarnation {
+		record.asked = nil
+	}
 	record.status, record.receivedAt, record.address = status, now, from
 	if joined {
 		h.requestFull(localVMs)
@@ -221,6 +231,12 @@
 	if rates := h.mergeRates(now, live); digest.AllAdmitted || now.Sub(h.ratesChangedAt) < slowInterval {
 		digest.Rates = rates
 	}
+	if digest.Roster != nil || now.Sub(state.askedSentAt) >= askedInterval {
+		asked := sumAsked(live)
+		if len(asked) > 0 || state.askedSent || digest.Roster != nil {
+			digest.Asked, state.askedSentAt, state.askedSent = asked, now, len(asked) > 0
+		}
+	}
 	state.fullRequested = false
 	return digest, batchRuns
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -62,6 +62,25 @@
 	Rates []ServerRate
 	// Leaving holds the processes of servers that have recently told the VM that they leave.
 	Leaving []bergamotgrade.ServerProcess
+	// Asked is the work that teams have recently asked for at the VM; most messages omit it. It is empty, but not nil,
+	// if there is none.
+	Asked []ServiceWork
+}
+
+// ServiceWork is the work that teams have recently asked for at one service.
+type ServiceWork struct {
+	Service string
+	Teams   []TeamWork
+	// RestTeams counts the teams that are not listed, RestPerSecond is the sum of their work.
+	RestTeams     int
+	RestPerSecond uint64
+}
+
+// TeamWork is the work that a team asks for, in tokens per second.
+type TeamWork struct {
+	// Team is the key of the team's name (share.TeamKey).
+	Team      uint32
+	PerSecond uint64
 }
 
 // Streams holds records of streams that the receiver keeps for other VMs.
@@ -115,6 +134,8 @@
 	Rates []ServerRate
 	// Leaving holds the processes of servers that have recently told VMs that they leave.
 	Leaving []bergamotgrade.ServerProcess
+	// Asked is the sum of the work that teams have recently asked for at the VMs. Most digests omit it.
+	Asked []ServiceWork
 }
 
 // ServerRate is what a VM has heard of the limit of a backend server.
--- a/gossip/message_test.go
+++ b/gossip/message_test.go
@@ -50,8 +50,10 @@
 func FuzzDecode(f *testing.F) {
 	status, _ := encode(tagStatus, Status{VM: VMState{VMID: "vm"}, Load: []ServerLoad{{ServerID: "i"}}})
 	digest, _ := encode(tagDigest, Digest{HubID: "vm", Roster: []VMState{{VMID: "vm"}}, Seen: []uint64{1, 2}})
+	asked, _ := encode(tagStatus, Status{VM: VMState{VMID: "vm"}, Asked: []ServiceWork{{Service: "svc", Teams: []TeamWork{{1, 2}}, RestTeams: 3, RestPerSecond: 4}}})
 	f.Add(status)
 	f.Add(digest)
+	f.Add(asked)
 	f.Fuzz(func(_ *testing.T, data []byte) {
 		message, _, err := decode(data)
 		if err != nil {
@@ -59,7 +61,9 @@
 		}
 		switch m := message.(type) {
 		case *Status:
-			newHub("a", "hub", 1).record(testStart, *m, nil)
+			h := newHub("a", "hub", 1)
+			h.record(testStart, *m, nil)
+			h.digest(testStart, localVMs)
 		case *Digest:
 			newTracker("vm", 0, "a").apply(testStart, *m)
 		}
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -69,6 +69,7 @@
 	peers    map[string]peer
 	sequence uint64
 	counts   recentCounts
+	asked    askedSender
 	choice   *hubChoice
 	hub      *hub
 	tracker  *tracker
@@ -190,7 +191,6 @@
 	hubs := n.choice.pick(now, n.candidates(n.config.Self.DataCentre))
 	n.sequence++
 	status.Sequence = n.sequence
-	n.tracker.sent(status)
 	hasNewHub := false
 	ids := make([]string, 0, len(hubs))
 	for _, h := range hubs {
@@ -198,6 +198,10 @@
 		hasNewHub = hasNewHub || !slices.Contains(n.reportedTo, h.id)
 	}
 	n.reportedTo = ids
+	known, asked := n.asked.next(now, status.Asked, hasNewHub)
+	status.Asked = known
+	n.tracker.sent(status)
+	status.Asked = asked
 	status.Admitted, status.AllAdmitted = n.counts.trim(now, fullStatusInterval, status.Admitted, hasNewHub)
 	n.mu.Unlock()
 	for i, h := range hubs {
--- a/gossip/relayed.go
+++ b/gossip/relayed.go
@@ -22,16 +22,19 @@
 	pending pendingDigests
 }
 
-// pendingDigests holds at most two digests: the last one that holds the roster, and the
-// last one after it.
-type pendingDigests struct{ full, latest []byte }
+// pendingDigests holds at most three digests: the last one that holds the roster, the last one after it that holds
+// the work asked for, and the last one after these.
+type pendingDigests struct{ full, asked, latest []byte }
 
-func (p *pendingDigests) add(data []byte, full bool) {
-	if full {
+func (p *pendingDigests) add(data []byte, digest Digest) {
+	switch {
+	case digest.Roster != nil:
 		*p = pendingDigests{full: data}
-		return
+	case digest.Asked != nil:
+		p.asked, p.latest = data, nil
+	default:
+		p.latest = data
 	}
-	p.latest = data
 }
 
 func newRelayed() *relayed {
@@ -47,11 +50,10 @@
 	}
 	data := slices.Clone(raw)
 	hub.latest = data
-	full := digest.Roster != nil
-	if full {
+	if digest.Roster != nil {
 		hub.full = data
 	}
-	hub.pending.add(data, full)
+	hub.pending.add(data, digest)
 }
 
 // take returns the digests to forward now. Of each data centre only one hub is forwarded.
@@ -68,7 +70,7 @@
 				hub.pending.full = hub.full // the VMs may not have the roster of this hub
 			}
 			r.forwarded[hub.dataCentre] = id
-			for _, data := range [][]byte{hub.pending.full, hub.pending.latest} {
+			for _, data := range [][]byte{hub.pending.full, hub.pending.asked, hub.pending.latest} {
 				if data != nil {
 					digests = append(digests, data)
 				}
--- a/gossip/tracker.go
+++ b/gossip/tracker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/share"
 )
 
 // Report is the state of one data centre as of a digest, without this VM.
@@ -37,6 +38,8 @@
 	Rates []ServerRate
 	// Leaving holds the processes of servers that have recently told VMs that they leave.
 	Leaving []bergamotgrade.ServerProcess
+	// Asked is the work that teams have recently asked for at the VMs; nil if the digest omits it.
+	Asked []share.ServiceWork
 }
 
 // tracker turns the digests of all hubs into reports. It does no I/O; the current time is
@@ -139,6 +142,10 @@
 	if listed {
 		report.Load = withoutLoad(digest.Load, own.Load)
 	}
+	report.Asked = decodeWork(digest.Asked)
+	if listed {
+		report.Asked = withoutAsked(digest.Asked, own.Asked)
+	}
 	for _, suspect := range digest.Suspects {
 		if listed && slices.Contains(own.Suspects, suspect.ServerID) {
 			suspect.Count--
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/scripttest"
 )
@@ -229,3 +231,31 @@
 	}
 	return loads
 }
+
+// A request that asks for a spare slot gets no server with fewer, but an idle server always.
+func TestSpareSlots(t *testing.T) {
+	now := time.Unix(1000, 0)
+	sel := NewSelector("vm1", "here")
+	sel.SetServers(now, map[string]bergamotgrade.ServerRecord{
+		"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 4},
+		"b": {ServerID: "b", Service: "svc", DataCentre: "here", Slots: 1},
+	})
+	count := func(spare float64) int {
+		criteria := Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Class: Online, Spare: spare}
+		started := map[string]int{}
+		for server, ok := sel.Pick(now, criteria); ok; server, ok = sel.Pick(now, criteria) {
+			sel.AddRequest(now, server.ServerID, Online)
+			started[server.ServerID]++
+		}
+		for id, requests := range started {
+			for range requests {
+				sel.RemoveRequest(now, id, Online, OutcomeAborted, 0)
+			}
+		}
+		return started["a"]*10 + started["b"]
+	}
+	qt.Assert(t, count(0), qt.Equals, 41)
+	qt.Assert(t, count(1e-9), qt.Equals, 31)
+	qt.Assert(t, count(0.5), qt.Equals, 21)
+	qt.Assert(t, count(1), qt.Equals, 11)
+}
--- a/share/assessment.go
+++ b/share/assessment.go
@@ -30,7 +30,7 @@
 func (l *Ledger) Heard(now time.Time) float64 {
 	heard := 1
 	for _, peer := range l.peers {
-		if now.Sub(peer.receivedAt) <= peerTimeout {
+		if now.Sub(peer.heardAt) <= peerTimeout {
 			heard += peer.vms
 		}
 	}
@@ -48,11 +48,13 @@
 	works := [][]ServiceWork{}
 	for _, dataCentre := range slices.Sorted(maps.Keys(l.peers)) {
 		peer := l.peers[dataCentre]
-		if now.Sub(peer.receivedAt) > peerTimeout {
+		if now.Sub(peer.heardAt) > peerTimeout {
 			delete(l.peers, dataCentre)
 			continue
 		}
-		works = append(works, peer.work)
+		if now.Sub(peer.workAt) <= peerTimeout {
+			works = append(works, peer.work)
+		}
 	}
 	a := Assessment{Capacity: capacity * l.Heard(now), rates: map[uint32]float64{}}
 	for key, t := range s.teams {
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -61,9 +61,11 @@
 
 // peerWork is what the other VMs of a data centre are asked for.
 type peerWork struct {
-	vms        int
-	work       []ServiceWork
-	receivedAt time.Time
+	// vms is the number of VMs as of heardAt, work what they are asked for as of workAt.
+	vms     int
+	heardAt time.Time
+	work    []ServiceWork
+	workAt  time.Time
 }
 
 // Ledger holds the work that teams have recently asked for at this VM and the others. It is not safe for concurrent
@@ -84,20 +86,16 @@
 // SetRegistered sets the number of registered VMs that take requests, this VM included.
 func (l *Ledger) SetRegistered(vms int) { l.registered = max(1, vms) }
 
-// SetPeers replaces what the other VMs of a data centre are asked for; vms counts them. A nil work leaves the work
-// as it is.
+// SetPeers replaces what the other VMs of a data centre are asked for; vms counts them. A nil work leaves the work as it
+// is: while there is little work, VMs do not tell of it.
 func (l *Ledger) SetPeers(now time.Time, dataCentre string, vms int, work []ServiceWork) {
-	before := l.peers[dataCentre]
-	if work == nil {
-		if before.receivedAt.IsZero() {
-			return
-		}
-		before.vms = vms
-		l.peers[dataCentre] = before
-		return
-	}
 	l.begin(now)
-	l.peers[dataCentre] = peerWork{vms: vms, work: work, receivedAt: now}
+	peer := l.peers[dataCentre]
+	peer.vms, peer.heardAt = vms, now
+	if work != nil {
+		peer.work, peer.workAt = work, now
+	}
+	l.peers[dataCentre] = peer
 }
 
 func (l *Ledger) begin(now time.Time) {
