Work that teams ask for is told every 0.4 s; sums over servers are kept for 50 ms

Cause: 64 teams in a message each 0.2 s are 22 KB/s a VM in six data centres; each status and admission summed up all servers.

--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -19,8 +19,9 @@
 	// and hubs get these at once.
 	fullStatusInterval = time.Second
 	fullDigestInterval = 3 * time.Second
-	// askedInterval is the pause between two messages with the work that teams ask for, which decays within a second.
-	askedInterval = 200 * time.Millisecond
+	// askedInterval is the pause between two messages with the work that teams ask for. In the replay of package relay
+	// 0.977 of the requests of light teams were in time with 400 ms, and 0.987 with 100 ms at four times the bytes.
+	askedInterval = 400 * time.Millisecond
 	// listedTimeout is how long a VM counts as listed by the hubs after the last digest that
 	// lists it.
 	listedTimeout = 700 * time.Millisecond
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -61,6 +61,9 @@
 	maxReturn = 2 * time.Second
 	// tellUsage is the fraction of the slots of a service in use from which on the VMs tell each other of its work.
 	tellUsage = 0.5
+	// capacityInterval is how long the sums over all servers of a service are used: status is no newer, and there may
+	// be 1,300 servers.
+	capacityInterval = 50 * time.Millisecond
 	// readBufferBytes is the size of the buffer for response bodies.
 	readBufferBytes = 4096
 )
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -37,6 +37,9 @@
 	ledger      *share.Ledger
 	work        map[string]*serviceWork
 	shareCounts ShareCounts
+	// asked is the result of Asked as of askedAt.
+	asked   []share.ServiceWork
+	askedAt time.Time
 	// fullAt is when a server last turned out to be full, by service.
 	fullAt map[string]time.Time
 	// returns holds when the next refused client should come back.
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -17,6 +17,10 @@
 	runs int
 	// cost is in tokens, run in seconds.
 	cost, run float64
+	// slots and limited are the capacity of the servers as of slotsAt.
+	slots   int
+	limited float64
+	slotsAt time.Time
 }
 
 func (w *serviceWork) observe(cost float64, run time.Duration) {
@@ -64,8 +68,11 @@
 	if !ok || work.run <= 0 {
 		return 0
 	}
-	slots, limited := s.selector.Capacity(bergamotgrade.ServerSet{Service: service})
-	return work.cost * (float64(slots)/work.run + limited)
+	if now := s.clock.Now(); now.Sub(work.slotsAt) >= capacityInterval {
+		work.slots, work.limited = s.selector.Capacity(bergamotgrade.ServerSet{Service: service})
+		work.slotsAt = now
+	}
+	return work.cost * (float64(work.slots)/work.run + work.limited)
 }
 
 // assess compares the work asked for at the service with its capacity; the caller holds the lock.
@@ -292,16 +299,20 @@
 }
 
 // Asked returns the work that this VM has recently been asked for at the services that are near their capacity; it is
-// not nil.
+// not nil and must not be changed.
 func (s *Scheduler) Asked() []share.ServiceWork {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	if now.Sub(s.askedAt) < capacityInterval && s.asked != nil {
+		return s.asked
+	}
 	heard := s.ledger.Heard(now)
-	return s.ledger.Own(now, func(service string) bool {
+	s.askedAt, s.asked = now, s.ledger.Own(now, func(service string) bool {
 		slots, used := s.selector.SlotUsage(bergamotgrade.ServerSet{Service: service}, placement.Online)
 		return float64(used) >= tellUsage*heard*float64(slots)
 	})
+	return s.asked
 }
 
 // SetAsked replaces the work that the other VMs of a data centre are asked for; vms counts those that take callers'
