Admission tests fail instead of waiting for a result that does not come

Cause: with a fault in refuseLate, TestAdmissionByPosition blocked until the time limit. Change: the tests check for a result before they take it.

--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -58,6 +58,7 @@
 			qt.Assert(t, w.result, qt.HasLen, 0)
 			continue
 		}
+		qt.Assert(t, w.result, qt.HasLen, 1)
 		failure := bergamotgrade.AsError((<-w.result).err)
 		qt.Assert(t, failure.Kind(), qt.Equals, bergamotgrade.KindOverloaded)
 		qt.Assert(t, failure.RetryAt().After(a.clock.Now()), qt.IsTrue)
@@ -73,8 +74,10 @@
 	qt.Assert(t, err, qt.IsNil)
 	_, returned, err := a.enter("team", 800*time.Millisecond, 6*time.Second)
 	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, fresh.result, qt.HasLen, 1)
 	qt.Assert(t, (<-fresh.result).err, qt.IsNotNil)
 	a.slot.Release(placement.OutcomeServed)
+	qt.Assert(t, returned.result, qt.HasLen, 1)
 	qt.Assert(t, (<-returned.result).slot, qt.IsNotNil)
 }
 
