--- a/entry/node.go
+++ b/entry/node.go
@@ -64,6 +64,8 @@
 	// retirementConfirmed once the confirmation is in the store.
 	retiring            bool
 	retirementConfirmed bool
+	// scarce tells which services were in scarcity at the last maintenance round; only that uses it.
+	scarce map[string]bool
 	// invalidServers holds the keys of registry entries that were logged as invalid, and
 	// their last revisions.
 	invalidServers map[string]int64
@@ -74,7 +76,7 @@
 func New(settings bergamotgrade.NodeSettings, metricsPort int, log *slog.Logger) (*Node, error) {
 	n := &Node{
 		settings: settings, metricsPort: metricsPort, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
-		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
+		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, scarce: map[string]bool{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	takesCallers := settings.CallerAddress != ""
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
@@ -141,6 +143,7 @@
 	n.metrics.Gauge("evacuated_data_centres", n.evacuatedDataCentres)
 	n.metrics.Gauge("cold_servers", func() int64 { return int64(n.scheduler.ColdServers()) })
 	n.metrics.Gauge("backend_servers", func() int64 { return int64(len(n.serverRecords())) })
+	n.registerShareGauges()
 	n.metrics.Gauge("peers_registered", func() int64 { return int64(len(n.view.peerAddresses())) })
 }
 
@@ -164,6 +167,7 @@
 		Suspects: n.scheduler.Suspects(),
 		Copies:   n.copyStates(),
 		Leaving:  n.leavingServers(),
+		Asked:    gossip.EncodeWork(n.scheduler.Asked()),
 	}
 	for _, heard := range n.scheduler.Rates() {
 		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
@@ -192,6 +196,7 @@
 		return // limits only
 	}
 	counts := n.view.recordReport(report)
+	n.scheduler.SetAsked(report.DataCentre, callersOf(report), report.Asked)
 	rates := make([]bergamotgrade.ServerRate, 0, len(report.Rates))
 	for _, heard := range report.Rates {
 		rates = append(rates, bergamotgrade.ServerRate{
@@ -494,6 +499,7 @@
 		}
 		n.scheduler.ExpirePeers()
 		n.logCold()
+		n.updateShares()
 		n.confirmRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -18,6 +18,23 @@
 	return slots, used
 }
 
+// Capacity returns the number of slots of the servers of the set that take requests now or will by themselves, of those
+// that are warm and name no limit, and the sum of the limits of the others in requests per second, over all VMs.
+func (sel *Selector) Capacity(now time.Time, servers bergamotgrade.ServerSet) (slots int, limitedPerSecond float64) {
+	for _, s := range sel.servers {
+		switch {
+		case !sel.counts(now, s, servers):
+		case sel.isCold(now, s):
+			limitedPerSecond += sel.services[s.record.Service].ColdPerSecond
+		case s.rate.limited:
+			limitedPerSecond += s.rate.perSecond
+		default:
+			slots += s.record.Slots
+		}
+	}
+	return slots, limitedPerSecond
+}
+
 // ExpectedWait estimates how long a request waits for a slot of the set if ahead
 // requests on this VM wait before it. It assumes that released slots are shared equally
 // by vms VMs, and adds this VM's shares of the limits that servers name and of cold servers. If
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -12,10 +12,22 @@
 	"github.com/bergamotgrade/bergamotgrade/queue"
 )
 
-// waiter is a waiting request; result receives its slot, or nil if there can be none.
+// waiter is a waiting request; result receives its slot, or the error if it is refused.
 type waiter struct {
-	criteria placement.Criteria
-	result   chan *Slot
+	criteria  placement.Criteria
+	queue     *queue.Fair
+	item      *queue.Item
+	enteredAt time.Time
+	// rejectIfLate allows the request to be refused if it would start after latestStart.
+	rejectIfLate bool
+	latestStart  time.Time
+	result       chan grant
+}
+
+// grant is the end of a wait.
+type grant struct {
+	slot *Slot
+	err  error
 }
 
 // SlotRequest describes a request that needs a slot.
@@ -26,6 +38,9 @@
 	Cost float64
 	// Avoid holds the ids of servers that failed or rejected the request before.
 	Avoid map[string]bool
+	// Previous is the slot that the request had before, if any: the request keeps its class and does not count as
+	// further work.
+	Previous *Slot
 	// LatestStart is the latest start that still meets the route's objective.
 	LatestStart time.Time
 	// Deadline ends the wait.
@@ -35,46 +50,52 @@
 	RejectIfLate bool
 }
 
-// Acquire waits for a slot in fair order between teams. It returns a KindNoBackendServer
-// error if no server of the set accepts requests, a KindOverloaded error if the
-// request would start too late or the queue is full, both with a retry time, and a
-// KindDeadlineExceeded error if no slot is released before the deadline.
+// Acquire waits for a slot: requests within their team's share first, in fair order between teams and by deadline within
+// a team. It returns a KindNoBackendServer error if no server of the set accepts requests, a KindOverloaded error if the
+// request would start too late or has to leave a full queue, both with a retry time, and a KindDeadlineExceeded error
+// if no slot is released before the deadline.
 func (s *Scheduler) Acquire(ctx context.Context, request SlotRequest) (*Slot, error) {
+	slot, w, err := s.enter(request)
+	if slot != nil || err != nil {
+		return slot, err
+	}
+	return s.await(ctx, w)
+}
+
+// enter returns a slot, or the waiter of a request that has to wait. It does not block.
+func (s *Scheduler) enter(request SlotRequest) (*Slot, *waiter, error) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.clock.Now()
 	if !s.selector.HasServer(now, request.Servers) {
-		s.mu.Unlock()
-		return nil, noServerError(request.Servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
+		return nil, nil, noServerError(request.Servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
 	q := s.queue(request.Servers)
-	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
-	if q.Len() == 0 {
-		if server, ok := s.selector.Pick(now, criteria); ok {
-			slot := s.start(now, server, placement.Online)
-			s.preemptOwn()
-			s.mu.Unlock()
-			s.onLoad()
-			return slot, nil
-		}
+	class := s.classify(now, &request)
+	w := &waiter{
+		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random()},
+		queue:    q, item: &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: class, Deadline: request.Deadline},
+		enteredAt: now, rejectIfLate: request.RejectIfLate, latestStart: request.LatestStart, result: make(chan grant, 1),
 	}
-	wait := s.selector.ExpectedWait(now, request.Servers, q.Len(), s.vms)
-	slots, used := s.selector.SlotUsage(now, request.Servers, placement.Online)
-	retryIn, coldCause := s.retryWait(now, request.Servers, q.Len(), wait)
-	overloaded := overloadedError().WithRetryAt(now.Add(jitteredDelay(retryIn))).
-		WithCause(errors.CombineErrors(coldCause, errors.Newf("online requests use %d of %d slots, %d requests wait on this VM, expected wait %s", used, slots, q.Len(), wait)))
-	if request.RejectIfLate && now.Add(wait).After(request.LatestStart) {
-		s.mu.Unlock()
-		return nil, overloaded
+	s.waiters[w.item] = w
+	if displaced := q.PushDisplacing(w.item); displaced != nil {
+		leaving := s.waiters[displaced]
+		wait := s.expectedWait(now, request.Servers, displaced.Class, float64(q.Len()), s.selector.ExpectedWait(now, request.Servers, 0, s.vms))
+		s.refuse(now, request.Servers, leaving, wait, leaving != w)
 	}
-	item := &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: queue.ClassOnline, Deadline: request.Deadline}
-	if !q.Push(item) {
-		s.mu.Unlock()
-		return nil, overloaded
+	if s.startWaiting(now, request.Servers, false) {
+		s.preemptOwn()
+		s.onLoad()
+	}
+	if s.waiters[w.item] == w {
+		s.refuseLate(now, request.Servers, w)
+	}
+	select {
+	case granted := <-w.result:
+		return granted.slot, nil, granted.err
+	default:
+		return nil, w, nil
 	}
-	w := &waiter{criteria: criteria, result: make(chan *Slot, 1)}
-	s.waiters[item] = w
-	s.mu.Unlock()
-	return s.await(ctx, q, item, w)
 }
 
 // jitteredDelay adds up to 50 % of random jitter to the delay, so that rejected callers
@@ -93,29 +114,26 @@
 	return bergamotgrade.NewError(bergamotgrade.KindOverloaded, "all backend servers of the service are busy for longer than the request may take", "try again after the time in Retry-After")
 }
 
-// await waits until the queued item gets a slot, its deadline passes or ctx ends.
-func (s *Scheduler) await(ctx context.Context, q *queue.Fair, item *queue.Item, w *waiter) (*Slot, error) {
-	timer := time.NewTimer(item.Deadline.Sub(s.clock.Now()))
+// await waits until the request gets a slot, its deadline passes or ctx ends.
+func (s *Scheduler) await(ctx context.Context, w *waiter) (*Slot, error) {
+	timer := time.NewTimer(w.item.Deadline.Sub(s.clock.Now()))
 	defer timer.Stop()
 	select {
-	case slot := <-w.result:
-		if slot == nil {
-			return nil, noServerError(w.criteria.Servers).WithRetryAt(s.clock.Now().Add(jitteredDelay(minRetryAfter * 4)))
-		}
-		return slot, nil
+	case granted := <-w.result:
+		return granted.slot, granted.err
 	case <-timer.C:
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	waiting := q.Remove(item)
-	delete(s.waiters, item)
+	waiting := w.queue.Remove(w.item)
+	delete(s.waiters, w.item)
 	s.mu.Unlock()
 	if !waiting {
 		select {
-		case slot := <-w.result:
+		case granted := <-w.result:
 			// The slot was assigned concurrently with the end of the wait.
-			if slot != nil {
-				slot.Release(placement.OutcomeAborted)
+			if granted.slot != nil {
+				granted.slot.Release(placement.OutcomeAborted)
 			}
 		default:
 		}
