Placement: servers are chosen by their speed where it differs

Cause: one mean run time stood for all servers of a service, and the one with the least load per slot was chosen, also if it took twice as long per step. Change: each server's time per unit of cost is learned from runs (moving average over runs, held against single slow runs and moments under a second) and merged with what other VMs tell. Where a server differs from the mean by over 20 %, online requests go by (load + 1) / slots x slowness within a tier; the wait estimate uses the sum of the speeds; a server of unknown speed counts as slow as the slowest quarter. Equal servers: the same choice.

--- a/fleet.go
+++ b/fleet.go
@@ -241,6 +241,15 @@
 	ColdRemaining time.Duration
 }
 
+// ServerSpeed is what the recent runs of VMs tell of the speed of a server.
+type ServerSpeed struct {
+	ServerID string
+	// Time is the time per unit of cost on a logarithmic scale of the package placement.
+	Time byte
+	// Runs is the number of recent runs.
+	Runs int
+}
+
 // ServerProcess is one process of a backend server, which may start again under its id.
 type ServerProcess struct {
 	ServerID string
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -45,3 +45,54 @@
 	// that an online request seldom has to wait for the preemption of a batch run.
 	batchReserve = 1
 )
+
+const (
+	// speedWeight is the weight of one run in the moving average of a server's time per token: 20
+	// runs move it by two thirds of a lasting change.
+	speedWeight = 0.05
+	// maxSpeedWeight bounds the weight that a VM gives a run where others run most of the requests.
+	maxSpeedWeight = 0.25
+	// minSpeedRuns is the number of runs from which a server's speed counts as known.
+	minSpeedRuns = 5
+	// minSpeedCost and minSpeedTime are the least work in tokens and the least time of runs that
+	// tell of a server's speed.
+	minSpeedCost = 20
+	minSpeedTime = 10 * time.Millisecond
+	// outputTokenCost is the cost of an output token; an event holds about one.
+	outputTokenCost = 10
+	// stepGrowth is how much longer a step takes with all slots in use than with one. Engines batch
+	// continuously: a step takes a fixed time plus a little for each request.
+	stepGrowth = 0.1
+	// maxDeviation is the logarithm of the factor to which a run that deviates more is held until the
+	// deviation has lasted for momentLimit. Slow moments of servers take under 0.6 s.
+	maxDeviation = 0.25
+	momentLimit  = time.Second
+	// unevenFrom and unevenUntil are the logarithms of the factors by which a server has to differ from
+	// the mean of its service for the speeds to count (20 %), and until when they do (15 %). With one
+	// limit, slow moments and a noise of 15 % of the times of runs crossed it now and then.
+	unevenFrom  = 0.18
+	unevenUntil = 0.14
+	// unevenRuns is the number of runs from which a server counts for that: the first few may all
+	// have met one slow moment.
+	unevenRuns = 20
+	// slownessStep is the step, a logarithm, to which slowness is rounded in ranks.
+	slownessStep = 0.25
+	// maxSlownessLog bounds the slowness to a factor of four either way.
+	maxSlownessLog = 1.386
+	// speedPeriod is the time after which runs no longer count as recent, and twice that at most.
+	speedPeriod = 4 * time.Second
+	// speedReportTTL is how long the report of a data centre counts; reports take turns where there
+	// are many servers.
+	speedReportTTL = 10 * time.Second
+	// speedRefreshInterval is the shortest time between two computations of all slownesses.
+	speedRefreshInterval = 100 * time.Millisecond
+	// speedSettleTime is for how long after a restart reports may be about the former process: as
+	// long as its runs count as recent.
+	speedSettleTime = 2 * speedPeriod
+	// speedByteBase is the logarithm of the least time per token that a message can tell, 1 µs in
+	// nanoseconds, and speedByteStep the resolution: 256 steps of 4.4 % up to 65 ms.
+	speedByteBase = 6.908
+	speedByteStep = 0.04332
+	// maxReportedRuns bounds the weight of a report, whatever a datagram holds.
+	maxReportedRuns = 1 << 16
+)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -16,13 +16,16 @@
 	Avoid map[string]bool
 	// Hash breaks ties differently for each request.
 	Hash uint64
+	// FirstEventWithin and PauseWithin are the objectives for the time to the first event and for
+	// the pause between events; zero for none.
+	FirstEventWithin, PauseWithin time.Duration
 }
 
 // rank orders candidate servers; the lowest rank is selected.
 type rank struct {
 	// tier orders the servers by how near they are and whether they have a free slot.
 	tier tier
-	// weight is the load per slot.
+	// weight is the load per slot, times the slowness where servers differ.
 	weight float64
 	tie    uint64
 }
@@ -32,13 +35,15 @@
 
 // The tiers: free slots before slots that have to be taken from batch runs, home servers
 // before others of the data centre, and these before those elsewhere. Servers that name a limit
-// come first for batch, and for online requests after the free slots of the others.
+// come first for batch, and for online requests after the free slots of the others. The slots of a
+// server that is too slow for the request's objectives come after these.
 const (
 	tierBatchLimited tier = iota - 1
 	tierHomeFree
 	tierLocalFree
 	tierRemoteFree
 	tierLimited
+	tierSlow
 	tierHomePreempt
 	tierLocalPreempt
 	tierRemotePreempt
@@ -128,6 +133,9 @@
 		load -= load % loadStep
 	}
 	r.weight = float64(load) / float64(s.record.Slots)
+	if criteria.Class == Online && sel.uneven[s.record.Service] {
+		sel.rankBySpeed(s, criteria, &r, load)
+	}
 	return r, true
 }
 
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -48,6 +48,7 @@
 	// batchStarts counts the batch runs that this VM has started since the last report.
 	batchStarts int
 	rate        serverRate
+	speed       serverSpeed
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -80,11 +81,16 @@
 	leaving map[bergamotgrade.ServerProcess]leavingMark
 	// limitedShare holds the fraction of the servers of a service that name a limit.
 	limitedShare map[string]float64
+	// uneven holds the services whose servers differ in speed, as of speedsAt.
+	uneven   map[string]bool
+	speedsAt time.Time
+	// firstEvents holds the mean time to the first event by service.
+	firstEvents map[string]time.Duration
 }
 
 // NewSelector returns a selector without servers for the VM.
 func NewSelector(vmID, dataCentre string) *Selector {
-	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{}}
+	return &Selector{vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{}, uneven: map[string]bool{}, firstEvents: map[string]time.Duration{}}
 }
 
 // SetServers replaces the server records at the time now. A server without a record gets no new requests
@@ -103,6 +109,7 @@
 				sel.rated--
 			}
 			server.failures, server.ejections, server.ejectedUntil = 0, 0, time.Time{}
+			server.speed = serverSpeed{ignoreUntil: now.Add(speedSettleTime)}
 		}
 		server.record = record
 	}
@@ -125,6 +132,7 @@
 	sel.chooseHome()
 	sel.sumPeers()
 	sel.shareRates(now)
+	sel.refreshSpeeds(now, true)
 }
 
 // chooseHome marks the homeServers servers of each service in this data centre that this VM
@@ -232,7 +240,8 @@
 		s.failures, s.ejections = 0, 0
 		s.ejectedUntil = time.Time{}
 		if class == Online {
-			sel.runTime += time.Duration(runTimeWeight * float64(ran-sel.runTime))
+			// The run time of a server of mean speed.
+			sel.runTime += time.Duration(runTimeWeight * (float64(ran)/sel.slowness(s) - float64(sel.runTime)))
 		}
 	case OutcomeFull:
 		s.fullUntil = now.Add(fullPause)
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"sort"
 	"strconv"
 	"strings"
@@ -88,8 +89,27 @@
 		s.selector.RemoveRequest(s.now, f[2], class(f[1]), outcomes[f[3]], ran)
 	case "pick": // pick CLASS [avoid=id]: the server of the next request, which is not started
 		return s.pick(f[1:])
-	case "spread": // spread CLASS count: starts that many requests; how many each server got
-		return s.spread(class(f[1]), count(f[1:]))
+	case "spread": // spread CLASS [first=OBJECTIVE] count: starts that many requests; how many each server got
+		return s.spread(f[1:len(f)-1], class(f[1]), count(f[1:]))
+	case "ran": // ran id TIME [count]: runs of 100 tokens end; ran-among id TIME REQUESTS: one of many
+		for range count(f) {
+			s.ran(f, 1)
+		}
+	case "ran-among":
+		s.ran(f, count(f))
+	case "told": // told DATA-CENTRE id TIME RUNS: its VMs tell of runs of 100 tokens
+		took, _ := time.ParseDuration(f[3])
+		code := encodeTime(math.Log(float64(took) / 100))
+		s.selector.MergeSpeeds(s.now, f[1], []bergamotgrade.ServerSpeed{{ServerID: f[2], Time: code, Runs: count(f)}})
+	case "tells": // the runs of which this VM tells the others
+		tells := map[string]int{}
+		for _, speed := range s.selector.Speeds(s.now) {
+			tells[speed.ServerID] = speed.Runs
+		}
+		return formatCounts(tells)
+	case "slowness": // slowness id, and whether servers count as uneven
+		s.selector.refreshSpeeds(s.now, true)
+		return fmt.Sprintf("%.2f %t", s.selector.servers[f[1]].speed.slowness, s.selector.uneven["svc"])
 	case "suspects":
 		return strings.Join(s.selector.Suspects(s.now), " ")
 	case "excess":
@@ -104,6 +124,12 @@
 	return ""
 }
 
+// ran records the end of a run of 100 tokens beside the other requests.
+func (s *selectorScript) ran(f []string, concurrency int) {
+	took, _ := time.ParseDuration(f[2])
+	s.selector.ObserveRun(s.now, f[1], Run{Cost: 100, Time: took, Concurrency: concurrency, FirstEvent: took / 10})
+}
+
 // markLeaving marks the process of a server and returns "known" if it was marked before.
 func (s *selectorScript) markLeaving(f []string, heardHere bool) string {
 	born, _ := strconv.ParseInt(f[2], 10, 64)
@@ -156,6 +182,9 @@
 		if id, ok := strings.CutPrefix(option, "avoid="); ok {
 			criteria.Avoid[id] = true
 		}
+		if objective, ok := strings.CutPrefix(option, "first="); ok {
+			criteria.FirstEventWithin, _ = time.ParseDuration(objective)
+		}
 	}
 	return criteria
 }
@@ -168,14 +197,10 @@
 	return record.ServerID
 }
 
-func (s *selectorScript) spread(c Class, n int) string {
+func (s *selectorScript) spread(f []string, c Class, n int) string {
 	starts := map[string]int{}
 	for range n {
-		name := "online"
-		if c == Batch {
-			name = "batch"
-		}
-		record, ok := s.selector.Pick(s.now, s.criteria([]string{name}))
+		record, ok := s.selector.Pick(s.now, s.criteria(f))
 		if !ok {
 			starts["none"]++
 			continue
--- a/placement/uneven_test.go
+++ b/placement/uneven_test.go
@@ -5,7 +5,6 @@
 	"math"
 	"math/rand/v2"
 	"slices"
-	"testing"
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade"
@@ -28,6 +27,8 @@
 	onRun func(f *unevenFleet, vm int, r *unevenRun)
 	// onReport is called each second, when speeds are exchanged; nil if they are not.
 	onReport func(f *unevenFleet)
+	// choose replaces Pick; nil for Pick.
+	choose func(f *unevenFleet, vm int) (bergamotgrade.ServerRecord, bool)
 }
 
 const (
@@ -151,7 +152,7 @@
 		}
 		for vm, waiting := range f.waiting {
 			for len(waiting) > 0 {
-				record, ok := f.selectors[vm].Pick(f.now, Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Hash: f.random.Uint64()})
+				record, ok := f.pick(vm)
 				if !ok {
 					break
 				}
@@ -170,6 +171,7 @@
 	r.late, r.full = float64(late)/float64(len(f.firsts)), float64(full)/float64(len(f.firsts))
 	r.p50, r.p99 = f.firsts[len(f.firsts)/2], f.firsts[len(f.firsts)*99/100]
 	r.meanRun = runTimes / time.Duration(len(f.firsts))
+	r.used = slices.Clone(r.used)
 	for i := range r.used {
 		r.used[i] /= float64(steps)
 	}
@@ -199,6 +201,13 @@
 	}
 }
 
+func (f *unevenFleet) pick(vm int) (bergamotgrade.ServerRecord, bool) {
+	if f.config.choose != nil {
+		return f.config.choose(f, vm)
+	}
+	return f.selectors[vm].Pick(f.now, Criteria{Servers: bergamotgrade.ServerSet{Service: "svc"}, Hash: f.random.Uint64(), FirstEventWithin: unevenObjective})
+}
+
 // advance runs the server's requests for one step of the replay.
 func (f *unevenFleet) advance(i int, server *unevenServer, ended func(*unevenRun)) {
 	factor := f.config.factor(i, f.at)
@@ -284,11 +293,3 @@
 	return fmt.Sprintf("%d requests, late %.2f %%, sent to full servers %.2f %%, first event p50 %s p99 %s, run %s, slots used: fast %.2f, slow %.2f, least %.2f, most %.2f; sent to fast %.2f",
 		r.requests, 100*r.late, 100*r.full, r.p50, r.p99, r.meanRun.Round(time.Millisecond), fast, slow, lowest, highest, float64(fastSent)/float64(fastSent+slowSent))
 }
-
-func TestUnevenServersWithoutSpeeds(t *testing.T) {
-	for _, perSecond := range []float64{168, 218, 250} {
-		for seed := range uint64(2) {
-			t.Logf("%g/s: %s", perSecond, newUnevenFleet(unevenConfig{seed: seed, perSecond: perSecond, factor: unevenFactor, moments: true}).play(unevenDuration))
-		}
-	}
-}
