Entry, jobs: speeds of servers in status, metrics and log; items tell of them too

Cause: speeds learned by one VM have to reach the others, and operators have to see a server that is slow for good. Runs that their caller held up tell nothing.

--- a/entry/node.go
+++ b/entry/node.go
@@ -122,6 +122,7 @@
 		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, mirror.watchWait, n, n.announceCopy(mirror.onChange), log)
 	}
 	n.registerGauges()
+	n.registerSpeedGauges()
 	return n, nil
 }
 
@@ -155,6 +156,7 @@
 		Suspects: n.scheduler.Suspects(),
 		Copies:   n.copyStates(),
 		Leaving:  n.leavingServers(),
+		Speeds:   n.scheduler.Speeds(),
 	}
 	for _, heard := range n.scheduler.Rates() {
 		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
@@ -190,6 +192,7 @@
 		})
 	}
 	n.scheduler.MergeRates(rates, n.view.requestingVMs)
+	n.scheduler.MergeSpeeds(report.DataCentre, report.Speeds)
 	for _, process := range n.scheduler.MarkLeaving(report.Leaving, false) {
 		n.log.Info("another VM says that a server leaves; sending it nothing new", "server", process.ServerID, "started_at_ms", process.StartedAtMs, "hub", report.HubID)
 	}
@@ -484,6 +487,7 @@
 		case <-ticker.C:
 		}
 		n.scheduler.ExpirePeers()
+		n.logSpeedChanges()
 		n.confirmRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
--- a/jobs/owned_item.go
+++ b/jobs/owned_item.go
@@ -35,6 +35,8 @@
 	text      []string
 	textBytes int
 	events    *relay.Sequence
+	// timer measures the current attempt.
+	timer *relay.RunTimer
 	// origin is where the first of these events came from; zero without events. The job's
 	// lock guards it.
 	origin bergamotgrade.StreamOrigin
@@ -124,7 +126,11 @@
 	server := slot.Server()
 	startedAt := runner.clock.Now()
 	eventBefore, failuresBefore := i.events.Last(), i.failures
+	i.timer = slot.StartRun()
 	outcome, err := i.attempt(slot.ctx, server)
+	if err == nil {
+		i.timer.Complete(0) // the cost of an item is counted in another unit
+	}
 	preempted := errors.Is(context.Cause(slot.ctx), relay.ErrPreempted)
 	if slot.ctx.Err() != nil && err != nil {
 		outcome = placement.OutcomeAborted
@@ -274,6 +280,7 @@
 		i.setOrigin(server)
 		if event.HasData() {
 			answer.MadeProgress()
+			i.timer.Event()
 			i.text = append(i.text, event.Data())
 			i.textBytes += len(event.Raw)
 		}
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -40,4 +40,7 @@
 	minRetryAfter = 50 * time.Millisecond
 	// readBufferBytes is the size of the buffer for response bodies.
 	readBufferBytes = 4096
+	// maxWaitedFraction is the part, as a divisor, of a run's time that may be spent waiting for the
+	// caller if the run is to tell of its server's speed.
+	maxWaitedFraction = 10
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -470,6 +470,8 @@
 	if len(data) == 0 {
 		return nil
 	}
+	before := run.relay.clock.Now()
 	run.callerErr = run.out.Write(data)
+	run.timer.WaitedForCaller(run.relay.clock.Now().Sub(before))
 	return run.callerErr
 }
--- a/relay/run_timer.go
+++ b/relay/run_timer.go
@@ -13,6 +13,8 @@
 	sentAt  time.Time
 	firstAt time.Time
 	events  int
+	// waited is the time spent waiting for the caller to take data.
+	waited time.Duration
 }
 
 // StartRun returns a timer for a request that is sent now.
@@ -27,13 +29,20 @@
 	}
 }
 
+// WaitedForCaller adds time spent waiting for the caller to take data.
+func (t *RunTimer) WaitedForCaller(d time.Duration) { t.waited += d }
+
 // Complete reports the run, whose response is complete, to the scheduler; it has to be called before
-// the slot is released. cost is the work in tokens, zero if unknown.
+// the slot is released. cost is the work in tokens, zero if unknown. Nothing is reported of a run that
+// the caller held up.
 func (t *RunTimer) Complete(cost float64) {
 	s := t.slot.scheduler
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
+	if t.waited > now.Sub(t.sentAt)/maxWaitedFraction {
+		return
+	}
 	run := placement.Run{Cost: cost, Time: now.Sub(t.sentAt), Events: t.events, Concurrency: t.slot.concurrency}
 	if t.events > 0 {
 		run.FirstEvent = t.firstAt.Sub(t.sentAt)
