--- a/entry/node.go
+++ b/entry/node.go
@@ -131,6 +131,7 @@
 		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, mirror.watchWait, n, n.announceCopy(mirror.onChange), log)
 	}
 	n.registerGauges()
+	n.registerSpeedGauges()
 	return n, nil
 }
 
@@ -168,6 +169,7 @@
 		Copies:   n.copyStates(),
 		Leaving:  n.leavingServers(),
 		Asked:    gossip.EncodeWork(n.scheduler.Asked()),
+		Speeds:   n.scheduler.Speeds(),
 	}
 	for _, heard := range n.scheduler.Rates() {
 		status.Rates = append(status.Rates, gossip.ServerRate{ServerID: heard.ServerID, Named: heard.Named, PerSecond: heard.PerSecond, AgeMs: heard.Age.Milliseconds()})
@@ -204,6 +206,7 @@
 		})
 	}
 	n.scheduler.MergeRates(rates, n.view.requestingVMs)
+	n.scheduler.MergeSpeeds(report.DataCentre, report.Speeds)
 	for _, process := range n.scheduler.MarkLeaving(report.Leaving, false) {
 		n.log.Info("another VM says that a server leaves; sending it nothing new", "server", process.ServerID, "started_at_ms", process.StartedAtMs, "hub", report.HubID)
 	}
@@ -500,6 +503,7 @@
 		n.scheduler.ExpirePeers()
 		n.logCold()
 		n.updateShares()
+		n.logSpeedChanges()
 		n.confirmRetirement(ctx)
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -50,6 +50,7 @@
 	askedSent   bool
 	// fullRequested is set if the next digest has to hold the roster and all counts.
 	fullRequested bool
+	speeds        speedTurns
 }
 
 // hubRecord is the last status of one VM.
@@ -62,6 +63,9 @@
 	admitted map[string]uint64
 	// asked is the last work that the VM has sent.
 	asked []ServiceWork
+	// speeds is what the VM has last told of the speed of servers, at speedsAt.
+	speeds   []bergamotgrade.ServerSpeed
+	speedsAt time.Time
 }
 
 func newHub(dataCentre, hubID string, incarnation int64) *hub {
@@ -95,6 +99,9 @@
 		record.asked = nil
 	}
 	record.status, record.receivedAt, record.address = status, now, from
+	if status.Speeds != nil {
+		record.speeds, record.speedsAt = status.Speeds, now
+	}
 	if joined {
 		h.requestFull(localVMs)
 		h.requestFull(remoteHubs)
@@ -237,6 +244,9 @@
 			digest.Asked, state.askedSentAt, state.askedSent = asked, now, len(asked) > 0
 		}
 	}
+	if state.speeds.due(now) {
+		digest.Speeds = state.speeds.take(now, mergeSpeeds(now, live))
+	}
 	state.fullRequested = false
 	return digest, batchRuns
 }
--- a/gossip/message.go
+++ b/gossip/message.go
@@ -65,6 +65,8 @@
 	// Asked is the work that teams have recently asked for at the VM; most messages omit it. It is empty, but not nil,
 	// if there is none.
 	Asked []ServiceWork
+	// Speeds holds what recent runs of the VM tell of the speed of servers. Most messages omit it.
+	Speeds []bergamotgrade.ServerSpeed
 }
 
 // ServiceWork is the work that teams have recently asked for at one service.
@@ -136,6 +138,8 @@
 	Leaving []bergamotgrade.ServerProcess
 	// Asked is the sum of the work that teams have recently asked for at the VMs. Most digests omit it.
 	Asked []ServiceWork
+	// Speeds holds what recent runs of the VMs tell of the speed of servers. Most digests omit it.
+	Speeds []bergamotgrade.ServerSpeed
 }
 
 // ServerRate is what a VM has heard of the limit of a backend server.
--- a/gossip/node.go
+++ b/gossip/node.go
@@ -82,6 +82,7 @@
 	sequence uint64
 	counts   recentCounts
 	asked    askedSender
+	speeds   speedTurns
 	choice   *hubChoice
 	hub      *hub
 	tracker  *tracker
@@ -203,6 +204,7 @@
 	hubs := n.choice.pick(now, n.candidates(n.config.Self.DataCentre))
 	n.sequence++
 	status.Sequence = n.sequence
+	status.Speeds = n.speeds.take(now, status.Speeds)
 	hasNewHub := false
 	ids := make([]string, 0, len(hubs))
 	for _, h := range hubs {
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -51,6 +51,7 @@
 	// holdsTooMuch is set while the server's requests hold too many bytes.
 	holdsTooMuch bool
 	cold         coldState
+	speed        serverSpeed
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -103,6 +104,13 @@
 	// warmServices holds the services with a warm server as of warmAt; nil if it is to be computed.
 	warmServices map[string]bool
 	warmAt       time.Time
+	// uneven holds the services whose servers differ in speed, as of speedsAt.
+	uneven   map[string]bool
+	speedsAt time.Time
+	// streamed holds the services of which this VM has seen a stream end.
+	streamed map[string]bool
+	// firstEvents holds the mean time to the first event by service.
+	firstEvents map[string]time.Duration
 }
 
 // NewSelector returns a selector without servers for the VM.
@@ -110,17 +118,20 @@
 	return &Selector{
 		registered: map[string]registeredVM{}, returnedAt: map[string]time.Time{}, coldOvershoot: defaultColdOvershoot,
 		vmID: vmID, dataCentre: dataCentre, servers: map[string]*serverState{}, peers: map[string]*peerReport{}, runTime: initialRunTime, callers: []string{vmID}, limitedShare: map[string]float64{}, leaving: map[bergamotgrade.ServerProcess]leavingMark{},
+		uneven: map[string]bool{}, firstEvents: map[string]time.Duration{}, streamed: map[string]bool{},
 	}
 }
 
 // SetServers replaces the server records at the time now. A server without a record gets no new requests
 // and is removed once this VM runs no requests there.
 func (sel *Selector) SetServers(now time.Time, records map[string]bergamotgrade.ServerRecord) {
+	hasNew := false
 	for id, record := range records {
 		server, ok := sel.servers[id]
 		if !ok {
 			sel.servers[id] = &serverState{record: record}
 			sel.readEntry(now, sel.servers[id], record, true)
+			hasNew = true
 			continue
 		}
 		before := server.record
@@ -132,6 +143,8 @@
 				sel.rated--
 			}
 			server.failures, server.ejections, server.ejectedUntil = 0, 0, time.Time{}
+			server.speed = serverSpeed{ignoreUntil: now.Add(speedSettleTime)}
+			hasNew = true
 		}
 		server.record = record
 		sel.readEntry(now, server, before, isNew)
@@ -160,6 +173,7 @@
 	sel.chooseHome(now)
 	sel.sumPeers()
 	sel.shareRates(now)
+	sel.refreshSpeeds(now, hasNew)
 }
 
 // chooseHome marks the homeServers servers of each service in this data centre that this VM
@@ -260,7 +274,8 @@
 		s.failures, s.ejections = 0, 0
 		s.ejectedUntil = time.Time{}
 		if class == Online {
-			sel.runTime += time.Duration(runTimeWeight * float64(ran-sel.runTime))
+			// The run time of a server of mean speed.
+			sel.runTime += time.Duration(runTimeWeight * (float64(ran)/sel.slowness(s) - float64(sel.runTime)))
 		}
 	case OutcomeFull:
 		s.fullUntil = now.Add(fullPause)
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -36,11 +36,11 @@
 }
 
 // ExpectedWait estimates how long a request waits for a slot of the set if ahead
-// requests on this VM wait before it. It assumes that released slots are shared equally
-// by vms VMs, and adds this VM's shares of the limits that servers name and of cold servers. If
+// requests on this VM wait before it. It goes by the sum of the servers' speeds, assumes that released
+// slots are shared equally by vms VMs, and adds this VM's shares of the limits that servers name and of cold servers. If
 // the set has none of these it returns when the first server turns warm, or the mean run time.
 func (sel *Selector) ExpectedWait(now time.Time, servers bergamotgrade.ServerSet, ahead, vms int) time.Duration {
-	slots, limited, warmIn := 0, 0.0, time.Duration(0)
+	slots, limited, warmIn := 0.0, 0.0, time.Duration(0)
 	for _, s := range sel.servers {
 		switch {
 		case !sel.counts(now, s, servers):
@@ -56,10 +56,10 @@
 		case s.rate.limited:
 			limited += s.rate.bucket.Rate()
 		default:
-			slots += s.record.Slots
+			slots += float64(s.record.Slots) / sel.slowness(s)
 		}
 	}
-	perSecond := float64(slots)/(float64(max(1, vms))*sel.runTime.Seconds()) + limited
+	perSecond := slots/(float64(max(1, vms))*sel.runTime.Seconds()) + limited
 	switch {
 	case perSecond == 0 && warmIn > 0:
 		return warmIn
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -43,6 +43,8 @@
 	Previous *Slot
 	// LatestStart is the latest start that still meets the route's objective.
 	LatestStart time.Time
+	// PauseObjective is the objective for the pause between two events; zero for none.
+	PauseObjective time.Duration
 	// Deadline ends the wait.
 	Deadline time.Time
 	// RejectIfLate rejects the request at once if its expected start is after
@@ -73,7 +75,7 @@
 	q := s.queue(request.Servers)
 	class := s.classify(now, &request)
 	w := &waiter{
-		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random()},
+		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random(), FirstEventWithin: request.LatestStart.Sub(now), PauseWithin: request.PauseObjective},
 		queue:    q, item: &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: class, Deadline: request.Deadline},
 		enteredAt: now, rejectIfLate: request.RejectIfLate, latestStart: request.LatestStart, result: make(chan grant, 1),
 	}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -132,6 +132,8 @@
 	// sentAt is when the last attempt was sent, serverID the server that it was sent to.
 	sentAt   time.Time
 	serverID string
+	// timer measures the current attempt.
+	timer *RunTimer
 }
 
 // Serve proxies the request and writes the response to out. It returns a
@@ -191,7 +193,7 @@
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
 		Servers: run.origin.Servers(req.Service, req.Homes), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
-		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
+		LatestStart: req.LatestStart, PauseObjective: req.GapObjective, Deadline: req.Deadline.Add(-minAttemptTime),
 		RejectIfLate: run.runs == 0 && run.isEarly(), Previous: run.slot,
 	})
 	if errors.Is(err, errServersCold) {
@@ -209,6 +211,7 @@
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
 	run.sentAt, run.serverID, run.resumedAfter = sentAt, server.ServerID, run.events.Last()
+	run.timer = slot.StartRun()
 	if req.Streams && req.Repeatable && run.origin.IsZero() {
 		run.relay.origins.Began(req.RequestID, bergamotgrade.OriginOf(server), run.runs+run.rejections)
 	}
@@ -270,7 +273,9 @@
 	run.runs++
 	switch {
 	case run.isSuccess(answer):
-		err = run.forward(server, answer)
+		if err = run.forward(server, answer); err == nil {
+			run.timer.Complete(run.req.Cost)
+		}
 	case answer.Status >= http.StatusInternalServerError && run.req.Repeatable && run.runs < run.req.MaxAttempts,
 		!answer.Signed, run.headSent,
 		answer.Status == http.StatusServiceUnavailable, answer.Status == http.StatusTooManyRequests:
@@ -407,6 +412,7 @@
 		}
 		if event.HasData() {
 			answer.MadeProgress()
+			run.timer.Event()
 		}
 	}
 }
@@ -479,6 +485,8 @@
 	if len(data) == 0 {
 		return nil
 	}
+	before := run.relay.clock.Now()
 	run.callerErr = run.out.Write(data)
+	run.timer.WaitedForCaller(run.relay.clock.Now().Sub(before))
 	return run.callerErr
 }
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -244,7 +244,7 @@
 		s.shareCounts.Displaced++
 	}
 	slots, used := s.selector.SlotUsage(now, servers, placement.Online)
-	retryIn, coldCause := s.retryWait(now, servers, w.queue.Len(), wait)
+	retryIn, coldCause := s.retryWait(now, servers, max(0, w.queue.Len()-1), wait)
 	returnAt := now.Add(jitteredDelay(retryIn)) // cold servers take longer than the window of return times
 	if coldCause == nil {
 		returnAt = s.returnTime(now, servers, w.item.Class, w.item.Cost, retryIn)
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -22,6 +22,8 @@
 	queueClass queue.Class
 	// scarce is set if demand exceeded the capacity of the service when the request started.
 	scarce bool
+	// concurrency is the number of requests at the server when this one started.
+	concurrency int
 	// due is the time by which a batch item has to be complete.
 	due       time.Time
 	preempted bool
