Package memory: one budget of the bytes held, bounded connections and bodies

Cause: bodies were read whole without a bound over all connections, heads and idle connections were bounded by net/http only, and a frame between VMs was allocated by the length that it announces.

--- a/fleet.go
+++ b/fleet.go
@@ -292,4 +292,20 @@
 	// ColdOvershoot times the limit of a cold server is what it may get in one second; zero if
 	// unknown.
 	ColdOvershoot float64
+	// Held bounds what the process holds for its clients.
+	Held HeldLimits
+}
+
+// HeldLimits bound what a process holds for its clients. A zero field selects the default.
+type HeldLimits struct {
+	// Share is the share of MemoryBytes that is the budget of bytes held for clients, servers and
+	// other VMs.
+	Share float64
+	// Connections is the number of open connections of callers.
+	Connections int
+	// BodyBytes of a request's body have to arrive in each BodyWindow.
+	BodyBytes  int64
+	BodyWindow time.Duration
+	// ServerBytes is the bytes of requests that a server may hold from all VMs together.
+	ServerBytes int64
 }
--- a/vm/conn.go
+++ b/vm/conn.go
@@ -13,11 +13,14 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bergamotgrade/bergamotgrade/memory"
 )
 
-// newConn starts JSON-RPC on a connection that has completed the handshake.
-func newConn(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler, metrics *expvar.Map) *jsonrpc2.Conn {
-	stream := jsonrpc2.NewBufferedStream(meteredConn{conn, metrics}, frameCodec{})
+// newConn starts JSON-RPC on a connection that has completed the handshake. The holding is charged
+// with the messages that arrive.
+func newConn(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler, holding *memory.Holding, metrics *expvar.Map) *jsonrpc2.Conn {
+	stream := jsonrpc2.NewBufferedStream(meteredConn{conn, metrics}, frameCodec{holding})
 	// Each call returns its error to the caller; the library's log lines would be unstructured.
 	return jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 }
@@ -46,8 +49,11 @@
 }
 
 // frameCodec prefixes each message with its length as a 4-byte big-endian integer and
-// rejects received messages above maxMessageBytes.
-type frameCodec struct{}
+// rejects received messages above maxMessageBytes. It charges the holding with a message as its bytes
+// arrive, until it is decoded.
+type frameCodec struct {
+	holding *memory.Holding
+}
 
 // WriteObject implements jsonrpc2.ObjectCodec.
 func (frameCodec) WriteObject(stream io.Writer, obj any) error {
@@ -65,7 +71,7 @@
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
-func (frameCodec) ReadObject(stream *bufio.Reader, v any) error {
+func (c frameCodec) ReadObject(stream *bufio.Reader, v any) error {
 	var header [4]byte
 	if _, err := io.ReadFull(stream, header[:]); err != nil {
 		return err
@@ -74,9 +80,18 @@
 	if size > maxMessageBytes {
 		return errors.Newf("message of %d bytes exceeds the size limit", size)
 	}
-	data := make([]byte, size)
-	if _, err := io.ReadFull(stream, data); err != nil {
+	data, err := memory.ReadAll(io.LimitReader(stream, int64(size)), c.holding, int64(size), maxMessageBytes)
+	if err != nil {
+		return err
+	}
+	defer c.holding.Release(int64(cap(data)))
+	if len(data) < int(size) {
+		return io.ErrUnexpectedEOF
+	}
+	// The decoded message holds a copy of its parameters or its result.
+	if err := c.holding.Reserve(int64(size)); err != nil {
 		return err
 	}
+	defer c.holding.Release(int64(size))
 	return json.Unmarshal(data, v)
 }
--- a/vm/peers.go
+++ b/vm/peers.go
@@ -9,12 +9,16 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bergamotgrade/bergamotgrade/memory"
 )
 
 // Peers calls other VMs by address and keeps one connection to each.
 type Peers struct {
 	secret  []byte
 	metrics *expvar.Map
+	// account is charged with the answers that arrive; nil charges nothing.
+	account *memory.Account
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -93,6 +97,9 @@
 	return Call[SegmentAnswer](ctx, p, address, methodGetSegment, call)
 }
 
+// SetAccount charges the account with the answers of peers; it is called before the first call.
+func (p *Peers) SetAccount(account *memory.Account) { p.account = account }
+
 func (p *Peers) peer(address string) *peer {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -169,13 +176,26 @@
 	if !stop() {
 		return nil, ctx.Err()
 	}
-	conn := newConn(context.WithoutCancel(ctx), raw, jsonrpc2.HandlerWithError(rejectCall), peers.metrics)
+	var holding *memory.Holding
+	if peers.account != nil {
+		holding = peers.account.Open(func() { _ = raw.Close() })
+	}
+	conn := newConn(context.WithoutCancel(ctx), raw, jsonrpc2.HandlerWithError(rejectCall), holding, peers.metrics)
+	if holding != nil {
+		go p.runHolding(conn, holding)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.conn = conn
 	return conn, nil
 }
 
+// runHolding closes the holding when the connection has ended.
+func (p *peer) runHolding(conn *jsonrpc2.Conn, holding *memory.Holding) {
+	<-conn.DisconnectNotify()
+	holding.Close()
+}
+
 // openConn returns the connection, or nil if there is none or it has ended.
 func (p *peer) openConn() *jsonrpc2.Conn {
 	p.mu.Lock()
--- a/vm/server.go
+++ b/vm/server.go
@@ -8,6 +8,8 @@
 	"sync"
 
 	"github.com/sourcegraph/jsonrpc2"
+
+	"github.com/bergamotgrade/bergamotgrade/memory"
 )
 
 // ServeFunc handles one call of another VM and returns its answer.
@@ -56,7 +58,14 @@
 		s.metrics.Add("refused_connections", 1)
 		return
 	}
-	rpc := newConn(ctx, conn, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), s.metrics)
+	var holding *memory.Holding
+	if counted, ok := conn.(*memory.Conn); ok {
+		holding = counted.Holding()
+	}
+	handle := func(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+		return s.handle(ctx, holding, req)
+	}
+	rpc := newConn(ctx, conn, jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(handle)), holding, s.metrics)
 	defer rpc.Close()
 	select {
 	case <-ctx.Done():
@@ -64,8 +73,9 @@
 	}
 }
 
-// handle handles one call. It rejects calls beyond maxConcurrentCalls immediately.
-func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+// handle handles one call. It rejects calls beyond maxConcurrentCalls, or for whose parameters
+// there is no room, immediately.
+func (s *Server) handle(ctx context.Context, holding *memory.Holding, req *jsonrpc2.Request) (any, error) {
 	select {
 	case s.callSlots <- struct{}{}:
 		defer func() { <-s.callSlots }()
@@ -73,6 +83,15 @@
 		s.metrics.Add("overloaded", 1)
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "too many calls are under way; try again"}
 	}
+	if req.Params != nil {
+		// The parameters are held as they arrived and decoded.
+		held := 2 * int64(len(*req.Params))
+		if err := holding.Reserve(held); err != nil {
+			s.metrics.Add("overloaded", 1)
+			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: err.Error() + "; try again"}
+		}
+		defer holding.Release(held)
+	}
 	s.metrics.Add("served_"+req.Method, 1)
 	return s.serve(ctx, req.Method, req.Params)
 }
