Bodies of requests at a server are bounded (held share)

Cause: a server ends if the requests that it holds exceed its memory; VMs chose servers by slots only.

Pick asks holdsTooMuch, which belongs into eligibility once that exists (HoldsTooMuch). Batch items and the bytes of other VMs do not count yet.

--- a/placement/pick.go
+++ b/placement/pick.go
@@ -14,6 +14,8 @@
 	Class   Class
 	// Avoid holds the ids of servers that failed or rejected this request before.
 	Avoid map[string]bool
+	// Bytes is the size of the request's body.
+	Bytes int64
 	// Hash breaks ties differently for each request.
 	Hash uint64
 }
@@ -62,7 +64,7 @@
 		var bestRank rank
 		for _, id := range sel.serverIDs {
 			s := sel.servers[id]
-			if !criteria.Servers.Includes(s.record) || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) {
+			if !criteria.Servers.Includes(s.record) || s.record.Draining || now.Before(s.fullUntil) || !s.rate.hasToken(now) || sel.holdsTooMuch(s, criteria.Bytes) {
 				continue
 			}
 			if !allowUnhealthy && (criteria.Avoid[id] || s.ejected(now)) {
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -48,6 +48,8 @@
 	// batchStarts counts the batch runs that this VM has started since the last report.
 	batchStarts int
 	rate        serverRate
+	// heldBytes is the bytes of this VM's requests at the server.
+	heldBytes int64
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -80,6 +82,8 @@
 	leaving map[bergamotgrade.ServerProcess]leavingMark
 	// limitedShare holds the fraction of the servers of a service that name a limit.
 	limitedShare map[string]float64
+	// heldShare is the bytes of requests that each server may hold from this VM; zero is unbounded.
+	heldShare int64
 }
 
 // NewSelector returns a selector without servers for the VM.
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -24,6 +24,8 @@
 	Team    string
 	// Cost is the expected work in tokens.
 	Cost float64
+	// Bytes is the size of the request's body.
+	Bytes int64
 	// Avoid holds the ids of servers that failed or rejected the request before.
 	Avoid map[string]bool
 	// LatestStart is the latest start that still meets the route's objective.
@@ -47,10 +49,10 @@
 		return nil, noServerError().WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))
 	}
 	q := s.queue(request.Servers)
-	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: rand.Uint64()}
+	criteria := placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Bytes: request.Bytes, Hash: rand.Uint64()}
 	if q.Len() == 0 {
 		if server, ok := s.selector.Pick(now, criteria); ok {
-			slot := s.start(now, server, placement.Online)
+			slot := s.start(now, server, placement.Online, request.Bytes)
 			s.preemptOwn()
 			s.mu.Unlock()
 			s.onLoad()
--- a/relay/batch_slot.go
+++ b/relay/batch_slot.go
@@ -25,7 +25,7 @@
 		s.mu.Unlock()
 		return nil, nil, false
 	}
-	slot := s.start(now, server, placement.Batch)
+	slot := s.start(now, server, placement.Batch, 0)
 	slot.due = due
 	runCtx, cancel := context.WithCancelCause(ctx)
 	s.batch[slot] = cancel
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -186,7 +186,7 @@
 		return true, err
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
-		Servers: run.origin.Servers(req.Service), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
+		Servers: run.origin.Servers(req.Service), Team: req.Team, Cost: req.Cost, Bytes: int64(len(req.Body)), Avoid: run.avoid,
 		LatestStart: req.LatestStart, Deadline: req.Deadline.Add(-minAttemptTime),
 		RejectIfLate: run.runs == 0,
 	})
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -29,6 +29,8 @@
 	// preempt.
 	batch map[*Slot]context.CancelCauseFunc
 	vms   int
+	// heldBytes is the bytes of requests that each server may hold from all VMs; zero is unbounded.
+	heldBytes int64
 	// batchCapacity is signalled when a batch item may get a slot.
 	batchCapacity chan struct{}
 }
@@ -56,6 +58,15 @@
 	s.schedule()
 }
 
+// SetHeldBytes sets the number of bytes of requests that a server may hold from all VMs together; zero
+// sets no bound.
+func (s *Scheduler) SetHeldBytes(total int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldBytes = total
+	s.selector.SetHeldBytes(total, s.vms)
+}
+
 // VMCounts counts the live VMs that share the servers, this VM included.
 type VMCounts struct {
 	// Callers counts the VMs that take callers' requests.
@@ -71,6 +82,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms.Callers
+	s.selector.SetHeldBytes(s.heldBytes, s.vms)
 	s.selector.SetRunners(vms.LocalRunners, vms.Runners)
 	s.selector.UpdatePeers(s.clock.Now(), dataCentre, byServer, suspects)
 	s.schedule()
@@ -164,9 +176,10 @@
 
 // start adds a request to the server's load and returns its slot; the caller holds the
 // lock.
-func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class) *Slot {
+func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class, bytes int64) *Slot {
 	s.selector.AddRequest(now, server.ServerID, class)
-	return &Slot{scheduler: s, server: server, class: class, startedAt: now}
+	s.selector.AddHeldBytes(server.ServerID, bytes)
+	return &Slot{scheduler: s, server: server, class: class, bytes: bytes, startedAt: now}
 }
 
 // schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
@@ -198,7 +211,7 @@
 			}
 			q.Pop(now)
 			delete(s.waiters, item)
-			w.result <- s.start(now, server, placement.Online)
+			w.result <- s.start(now, server, placement.Online, w.criteria.Bytes)
 			started = true
 		}
 	}
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -13,6 +13,8 @@
 	scheduler *Scheduler
 	server    bergamotgrade.ServerRecord
 	class     placement.Class
+	// bytes is the size of the request's body.
+	bytes     int64
 	startedAt time.Time
 	// due is the time by which a batch item has to be complete.
 	due       time.Time
@@ -32,6 +34,7 @@
 	s.mu.Lock()
 	now := s.clock.Now()
 	s.selector.RemoveRequest(now, slot.server.ServerID, slot.class, outcome, now.Sub(slot.startedAt))
+	s.selector.AddHeldBytes(slot.server.ServerID, -slot.bytes)
 	if cancel, ok := s.batch[slot]; ok {
 		delete(s.batch, slot)
 		cancel(nil)
