--- a/entry/command.go
+++ b/entry/command.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
@@ -27,20 +28,26 @@
 
 func newRoleCommand(hangups chan os.Signal, name, short string) *cobra.Command {
 	var metricsPort int
+	var held bergamotgrade.HeldLimits
 	command := &cobra.Command{
 		Use:   name,
 		Short: short,
 		Long: short + ". The environment variable " + platform.SettingsVariable + " names the settings file.\n" +
+			"Each flag that is not given can be set by an environment variable: BERGAMOT_ and the flag's\nname in capitals with underscores, such as BERGAMOT_HELD_SHARE.\n" +
 			"SIGTERM stops the VM after it has completed the requests in flight within the stop grace\nperiod. SIGHUP reads the settings file again; a change takes effect at the next start.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			if err := Main(command.Context(), hangups, metricsPort); err != nil {
+			if err := checkHeldLimits(held, applyEnvironment(command.Flags())); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if err := Main(command.Context(), hangups, metricsPort, held); err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
 			return nil
 		},
 	}
 	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page; 0 disables it")
+	registerHeldLimits(command.Flags(), &held)
 	return command
 }
 
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -51,3 +51,34 @@
 	// limit of the Go runtime; the garbage collector runs more often as it is approached.
 	memoryLimitFraction = 0.7
 )
+
+const (
+	// defaultHeldShare leaves room for what the account does not count: at 144 MB the budget is 36 MB,
+	// the process alone takes 20 MB, and buffers that were let go of stay until the next collection.
+	defaultHeldShare = 0.25
+	minHeldShare     = 0.05
+	maxHeldShare     = 0.5
+	// defaultBodyProgressBytes in defaultBodyProgressWindow is a rate at which no body of
+	// more than a few KB arrives by its deadline; only clients that have stopped are below it.
+	defaultBodyProgressBytes  = 256
+	defaultBodyProgressWindow = 3 * time.Second
+	minBodyProgressWindow     = 100 * time.Millisecond
+	maxBodyProgressWindow     = time.Minute
+	// defaultServerHeldBytes is a body of 4 MB in each of 8 slots, sent by two VMs at once.
+	defaultServerHeldBytes = 64 << 20
+	minServerHeldBytes     = 1 << 20
+	// assumedMemoryBytes and assumedDescriptors apply if the settings name no limit; they are those of
+	// the largest VMs.
+	assumedMemoryBytes = 536 << 20
+	assumedDescriptors = 10250
+	// reservedDescriptors are for files; the platform reserves as many.
+	reservedDescriptors = 200
+	// callerConnectionShare and innerConnectionShare are the parts of the descriptors that accepted
+	// connections may use; the rest is for connections to up to 1,300 servers and 370 VMs.
+	callerConnectionShare = 0.5
+	innerConnectionShare  = 0.2
+	// minConnections is the smallest bound of a listener, pageConnections that of the readiness and
+	// metrics pages, which few programs ask.
+	minConnections  = 32
+	pageConnections = 32
+)
--- a/entry/main.go
+++ b/entry/main.go
@@ -25,13 +25,15 @@
 }
 
 // Main runs one VM with the platform's settings file until SIGTERM or SIGINT. hangups is
-// the channel of Hangups, metricsPort the port of the metrics page; 0 serves none.
-func Main(ctx context.Context, hangups chan os.Signal, metricsPort int) error {
+// the channel of Hangups, metricsPort the port of the metrics page; 0 serves none. held bounds what the
+// VM holds for its clients.
+func Main(ctx context.Context, hangups chan os.Signal, metricsPort int, held bergamotgrade.HeldLimits) error {
 	path := platform.SettingsPath()
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
+	settings.Held = held
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -3,6 +3,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"maps"
@@ -18,6 +19,7 @@
 	"github.com/bergamotgrade/bergamotgrade/follow"
 	"github.com/bergamotgrade/bergamotgrade/gossip"
 	"github.com/bergamotgrade/bergamotgrade/jobs"
+	"github.com/bergamotgrade/bergamotgrade/memory"
 	"github.com/bergamotgrade/bergamotgrade/origin"
 	"github.com/bergamotgrade/bergamotgrade/placement"
 	"github.com/bergamotgrade/bergamotgrade/platform"
@@ -49,6 +51,7 @@
 	repository    *jobs.Repository
 	runner        *jobs.Runner
 	callerHandler *platform.CallerHandler
+	account       *memory.Account
 	mirrors       map[string]*follow.Mirror
 
 	// peerTasks holds short calls to peers; Run waits for them before it returns.
@@ -73,10 +76,12 @@
 		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	takesCallers := settings.CallerAddress != ""
+	n.account = n.newAccount()
 	n.kv = follow.NewMonitoredStore(platform.NewStoreClient(settings.StoreAddress, n.metrics.Map("store_calls")), n.clock, n.peerStore, log)
 	n.view = newView(n.clock, settings.VMID, n.incarnation, takesCallers, log)
 	n.backend = platform.NewBackendClient(n.metrics.Map("backend"))
 	n.scheduler = relay.NewScheduler(n.clock, placement.NewSelector(settings.VMID, settings.DataCentre), n.announce)
+	n.scheduler.SetHeldBytes(cmp.Or(settings.Held.ServerBytes, defaultServerHeldBytes))
 	n.origins = origin.New(n.clock, n, log)
 	innerAddress := net.JoinHostPort(settings.IP, strconv.Itoa(settings.InnerPort))
 	var err error
@@ -89,6 +94,7 @@
 		return nil, err
 	}
 	n.peers = vm.NewPeers("", n.metrics.Map("inner"))
+	n.peers.SetAccount(n.account)
 	n.peerServer = vm.NewFuncServer("", n.handlePeerCall, n.metrics.Map("inner"))
 	n.membership = &membership{
 		kv: n.kv, term: max(memberLeaseTerm, settings.StoreLeaseMin), log: log,
@@ -103,7 +109,7 @@
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics), service, n.metrics, log)
+	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics), service, n.newBodies(), n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -349,10 +355,11 @@
 // stop grace period. It returns an error only if it cannot listen.
 func (n *Node) Run(ctx context.Context) error {
 	n.log.Info("VM starting", "incarnation", n.incarnation, "data_centre", n.settings.DataCentre, "callers", n.settings.CallerAddress, "store", n.settings.StoreAddress)
-	listeners, err := n.listen()
+	plain, err := n.listen()
 	if err != nil {
 		return err
 	}
+	listeners := n.boundListeners(plain)
 	workCtx, stopWork := context.WithCancel(context.Background())
 	var work sync.WaitGroup
 	for _, run := range []func(context.Context){
@@ -361,6 +368,9 @@
 	} {
 		work.Go(func() { run(workCtx) })
 	}
+	for _, listener := range listeners {
+		work.Go(func() { listener.Run(workCtx) })
+	}
 	for _, mirror := range n.mirrors {
 		work.Go(func() { mirror.Run(workCtx) })
 		work.Go(func() { mirror.RunPeerFetches(workCtx) })
@@ -382,43 +392,6 @@
 	return nil
 }
 
-// listen opens all listeners and returns them by name.
-func (n *Node) listen() (map[string]net.Listener, error) {
-	addresses := map[string]string{"inner": net.JoinHostPort(n.settings.IP, strconv.Itoa(n.settings.InnerPort))}
-	for name, address := range map[string]string{"callers": n.settings.CallerAddress, "ready": n.settings.ReadyAddress} {
-		if address != "" {
-			addresses[name] = address
-		}
-	}
-	if n.metricsPort > 0 {
-		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.metricsPort))
-	}
-	listeners := make(map[string]net.Listener, len(addresses))
-	for name, address := range addresses {
-		listener, err := net.Listen("tcp4", address)
-		if err != nil {
-			return nil, err
-		}
-		listeners[name] = listener
-	}
-	return listeners, nil
-}
-
-// httpServers returns the HTTP servers by the names of their listeners.
-func (n *Node) httpServers() map[string]*http.Server {
-	servers := map[string]*http.Server{}
-	if n.settings.CallerAddress != "" {
-		servers["callers"] = platform.NewServer(n.callerHandler)
-	}
-	if n.settings.ReadyAddress != "" {
-		servers["ready"] = platform.NewServer(platform.NewReadyHandler(n.ready))
-	}
-	if n.metricsPort > 0 {
-		servers["metrics"] = platform.NewServer(n.metrics)
-	}
-	return servers
-}
-
 // shutdown completes the requests in flight within the stop grace period and ends the
 // registration.
 func (n *Node) shutdown(servers map[string]*http.Server) {
