--- a/caller/constants.go
+++ b/caller/constants.go
@@ -7,6 +7,9 @@
 	maxPromptParts = 32
 	// writeTimeout is the maximum duration of one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
+	// noRoomRetryAfter is the Retry-After of requests for which there is no room: bodies that stop
+	// short are given up after some seconds.
+	noRoomRetryAfter = time.Second
 	// idleTimeout is the time after which idle connections are closed.
 	idleTimeout = 90 * time.Second
 	// maxHeaderBytes is the maximum size of a request header.
--- a/caller/files.go
+++ b/caller/files.go
@@ -14,11 +14,15 @@
 
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/batch"
+	"github.com/bergamotgrade/bergamotgrade/memory"
 )
 
 const (
 	// uploadTimeout is the maximum duration of the upload of one file.
 	uploadTimeout = 10 * time.Minute
+	// uploadHeldBytes is held of a file whose lines are read: the longest line, decoded, and the
+	// lines that wait for their segment.
+	uploadHeldBytes = 2 * batch.MaxLineBytes
 	// maxFieldBytes is the maximum number of bytes read of a form field other than the
 	// file.
 	maxFieldBytes = 1024
@@ -56,6 +60,12 @@
 	if err != nil {
 		return err
 	}
+	holding, done := s.deps.Bodies.Holding(x.req)
+	x.releases = append(x.releases, done)
+	if err := s.hold(x, holding, uploadHeldBytes); err != nil {
+		x.w.Header().Set("Connection", "close")
+		return noRoomError(s.deps.Clock.Now(), err)
+	}
 	_ = http.NewResponseController(x.w).SetReadDeadline(time.Now().Add(uploadTimeout))
 	reader, err := x.req.MultipartReader()
 	if err != nil {
@@ -204,8 +214,8 @@
 		d.started = true
 		d.w.Header().Set("Content-Type", "application/jsonl")
 	}
-	_, err := d.buffer.WriteTo(d.w)
-	return err
+	defer d.buffer.Reset()
+	return memory.WritePieces(d.w, d.buffer.Bytes(), writeTimeout)
 }
 
 var _ io.Writer = (*delayedHeaderWriter)(nil)
--- a/caller/server.go
+++ b/caller/server.go
@@ -6,12 +6,12 @@
 	"context"
 	"encoding/json"
 	"expvar"
-	"io"
 	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/google/uuid"
 	"github.com/kataras/iris/v12"
 
@@ -19,6 +19,7 @@
 	"github.com/bergamotgrade/bergamotgrade/batch"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/idempotency"
+	"github.com/bergamotgrade/bergamotgrade/memory"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
 )
@@ -58,6 +59,8 @@
 	Dispatcher         *dispatch.Dispatcher
 	IdempotencyRecords *idempotency.Store
 	Batches            *batch.Repository
+	// Bodies reads the bodies of requests.
+	Bodies *memory.Bodies
 	// Executor validates the items of input files; New sets it.
 	Executor *Executor
 	// AnnounceJob notifies all VMs of an accepted or cancelled batch job.
@@ -115,6 +118,15 @@
 	requestID string
 	// cancel cancels the context of the request with a cause.
 	cancel context.CancelCauseFunc
+	// releases release what is held of the request at its end.
+	releases []func()
+}
+
+// release releases what is held of the request.
+func (x *exchange) release() {
+	for _, release := range x.releases {
+		release()
+	}
 }
 
 // serve wraps a handler: it assigns the request id, asks the caller to close its
@@ -125,6 +137,7 @@
 		var reqCtx context.Context
 		reqCtx, x.cancel = context.WithCancelCause(x.req.Context())
 		defer x.cancel(nil)
+		defer x.release()
 		x.req = x.req.WithContext(reqCtx)
 		x.w.Header().Set(headerRequestID, x.requestID)
 		if s.draining.Load() {
@@ -141,6 +154,12 @@
 // run calls the handler and writes its error as the response.
 func (s *Server) run(x *exchange, handle func(*exchange) error) {
 	s.deps.Metrics.Add("requests", 1)
+	s.deps.Bodies.Begin(x.w, x.req)
+	control := http.NewResponseController(x.w)
+	// The deadline of the response before on this connection must not end this one. The errors tell
+	// that the writer has no connection, as in tests.
+	_ = control.SetWriteDeadline(time.Time{})
+	defer func() { _ = control.SetWriteDeadline(time.Now().Add(writeTimeout)) }()
 	err := s.checkConnectionLimit()
 	if err == nil {
 		err = handle(x)
@@ -192,23 +211,38 @@
 	return unregister
 }
 
-// readBody reads the whole body within MaxBodyBytes and BodyTimeout.
+// readBody reads the whole body within MaxBodyBytes and BodyTimeout. The body and the copy that goes
+// to a backend server are held until the end of the request.
 func (s *Server) readBody(x *exchange) ([]byte, error) {
-	controller := http.NewResponseController(x.w)
-	_ = controller.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(x.req.Body, s.config.MaxBodyBytes+1))
-	if int64(len(body)) > s.config.MaxBodyBytes {
-		x.w.Header().Set("Connection", "close")
+	body, holding, release, err := s.deps.Bodies.Read(x.w, x.req, s.config.MaxBodyBytes, time.Now().Add(s.config.BodyTimeout))
+	if err == nil {
+		x.releases = append(x.releases, release)
+		err = s.hold(x, holding, int64(len(body)))
+	}
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.Is(err, memory.ErrTooLarge):
 		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the body is larger than this system takes", "send a smaller body").WithNotRun()
+	case errors.Is(err, memory.ErrNoRoom):
+		return nil, noRoomError(s.deps.Clock.Now(), err)
 	}
-	if err != nil {
-		x.w.Header().Set("Connection", "close")
-		return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTimeout, "the body did not arrive whole in time", "send it again over a better connection").WithNotRun().WithCause(err)
+	return nil, bergamotgrade.NewError(bergamotgrade.KindRequestTimeout, "the body did not arrive whole in time", "send it again over a better connection").WithNotRun().WithCause(err)
+}
+
+// noRoomError refuses a request for which the budget of bytes held has no room.
+func noRoomError(now time.Time, cause error) error {
+	return bergamotgrade.NewError(bergamotgrade.KindOverloaded, "this VM holds as many bytes of requests as it may", "try again at another VM").
+		WithNotRun().WithRetryAt(now.Add(noRoomRetryAfter)).WithCause(cause)
+}
+
+// hold reserves further bytes until the end of the request.
+func (s *Server) hold(x *exchange, holding *memory.Holding, bytes int64) error {
+	if err := holding.Reserve(bytes); err != nil {
+		return err
 	}
-	// After an error the read deadline stays set, so that net/http does not wait for
-	// the rest of the body before it closes the connection.
-	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
+	x.releases = append(x.releases, func() { holding.Release(bytes) })
+	return nil
 }
 
 // deadline returns the time by which the response must be complete.
@@ -248,7 +282,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	protocols.SetUnencryptedHTTP2(true)
-	return &http.Server{
+	server := &http.Server{
 		Handler:           s.handler,
 		ReadHeaderTimeout: s.config.HeaderTimeout,
 		IdleTimeout:       idleTimeout,
@@ -256,6 +290,8 @@
 		ConnState:         s.connState,
 		Protocols:         protocols,
 	}
+	memory.Attach(server)
+	return server
 }
 
 func (s *Server) connState(_ net.Conn, state http.ConnState) {
--- a/caller/service.go
+++ b/caller/service.go
@@ -10,6 +10,7 @@
 	"github.com/bergamotgrade/bergamotgrade"
 	"github.com/bergamotgrade/bergamotgrade/backend"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
+	"github.com/bergamotgrade/bergamotgrade/memory"
 	"github.com/bergamotgrade/bergamotgrade/queue"
 	"github.com/bergamotgrade/bergamotgrade/release"
 	"github.com/bergamotgrade/bergamotgrade/timeline"
@@ -136,5 +137,6 @@
 		w.Header()[name] = values
 	}
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(answer.Body)
+	// A write fails only if the caller has left or does not read; either way it gets no more.
+	_ = memory.WritePieces(w, answer.Body, writeTimeout)
 }
--- a/daemon/command.go
+++ b/daemon/command.go
@@ -36,6 +36,7 @@
 			if err := settings.Check(problems); err != nil {
 				return err
 			}
+			setMemoryLimit(settings)
 			vm, err := New(settings)
 			if err != nil {
 				return err
--- a/daemon/settings.go
+++ b/daemon/settings.go
@@ -26,6 +26,11 @@
 	PlatformRate             float64
 	MaxBodyBytes             int64
 	MaxConnections           int
+	MemoryMB                 int64
+	HeldShare                float64
+	FileDescriptors          int
+	BodyProgressBytes        int64
+	BodyProgressWindow       time.Duration
 	HeaderTimeout            time.Duration
 	BodyTimeout              time.Duration
 	RequestTimeout           time.Duration
@@ -67,6 +72,11 @@
 	flags.Float64Var(&s.PlatformRate, "platform-rate", 20, "largest number of platform `calls` per second, lease calls not counted")
 	flags.Int64Var(&s.MaxBodyBytes, "max-body-bytes", 4<<20, "largest request body in `bytes`")
 	flags.IntVar(&s.MaxConnections, "max-connections", 10000, "largest `number` of connections from callers")
+	flags.Int64Var(&s.MemoryMB, "memory-mb", 1024, "memory limit of this process in `MiB`")
+	flags.Float64Var(&s.HeldShare, "held-share", 0.25, "`share` of the memory limit that may be held for callers, operators and other VMs")
+	flags.IntVar(&s.FileDescriptors, "file-descriptors", 0, "largest `number` of open descriptors; 0 leaves the connections to --max-connections")
+	flags.Int64Var(&s.BodyProgressBytes, "body-progress-bytes", 256, "`bytes` of a request's body that have to arrive in each --body-progress-window")
+	flags.DurationVar(&s.BodyProgressWindow, "body-progress-window", 3*time.Second, "`time` in which --body-progress-bytes of a body have to arrive")
 	flags.DurationVar(&s.HeaderTimeout, "header-timeout", 5*time.Second, "longest `time` for the header of a request")
 	flags.DurationVar(&s.BodyTimeout, "body-timeout", 10*time.Second, "longest `time` for the body of a request")
 	flags.DurationVar(&s.RequestTimeout, "request-timeout", 2*time.Minute, "`time` limit of a request that sets no deadline")
@@ -139,6 +149,10 @@
 	add(s.PlatformRate <= 0, "platform-rate", "not above zero", "give this VM's part of the platform's call budget")
 	add(s.MaxBodyBytes < 1024, "max-body-bytes", "below 1024", "give a larger bound")
 	add(s.MaxConnections < 1, "max-connections", "below 1", "give a larger bound")
+	add(s.MemoryMB < 64, "memory-mb", "below 64", "give the memory of this process")
+	add(s.HeldShare < 0.05 || s.HeldShare > 0.5, "held-share", "not between 0.05 and 0.5", "give a share like 0.25")
+	add(s.FileDescriptors != 0 && s.FileDescriptors < 256, "file-descriptors", "below 256", "give the limit of this process, or 0")
+	add(s.BodyProgressBytes < 1, "body-progress-bytes", "below 1", "give a number like 256")
 	add(s.LeaseTerm < minLeaseTerm, "lease-term", "below 5s", "give at least 5s")
 	add(s.SlotCount < 1, "slot-count", "below 1", "give at least the number of VMs")
 	add(s.RateMode != RateModePledge && s.RateMode != RateModeLending && s.RateMode != RateModeStatic, "rate-mode", "unknown", "choose pledge, lending or static")
@@ -160,6 +174,7 @@
 	}{
 		{"header-timeout", s.HeaderTimeout},
 		{"body-timeout", s.BodyTimeout},
+		{"body-progress-window", s.BodyProgressWindow},
 		{"request-timeout", s.RequestTimeout},
 		{"first-token-timeout", s.FirstTokenTimeout},
 		{"token-gap-timeout", s.TokenGapTimeout},
--- a/daemon/vm.go
+++ b/daemon/vm.go
@@ -25,6 +25,7 @@
 	"github.com/bergamotgrade/bergamotgrade/idempotency"
 	"github.com/bergamotgrade/bergamotgrade/limit"
 	"github.com/bergamotgrade/bergamotgrade/member"
+	"github.com/bergamotgrade/bergamotgrade/memory"
 	"github.com/bergamotgrade/bergamotgrade/operator"
 	"github.com/bergamotgrade/bergamotgrade/orders"
 	"github.com/bergamotgrade/bergamotgrade/platform"
@@ -60,6 +61,10 @@
 	guard       *quarantine.Guard
 	guardMirror *follow.Mirror
 	caller      *caller.Server
+	account     *memory.Account
+	bodies      *memory.Bodies
+	// bounded holds the listeners by name once the VM runs.
+	bounded map[string]*memory.Listener
 	// ratesSettledOnce is set once ratesSettled has returned true.
 	ratesSettledOnce atomic.Bool
 }
@@ -79,7 +84,11 @@
 		ring:     ring,
 		follower: release.NewFollower(clock, store, ring),
 		backend:  backendClient,
+		account:  newAccount(settings),
+		bounded:  map[string]*memory.Listener{},
 	}
+	v.bodies = memory.NewBodies(v.account, memory.Progress{Bytes: settings.BodyProgressBytes, Window: settings.BodyProgressWindow})
+	peers.SetAccount(v.account)
 	v.guard = quarantine.New(quarantine.Config{
 		Clock: clock, VMID: settings.VMID, Store: storeClient, Prober: quarantine.NewDialProber(),
 		VMs: func() int { return v.vmSet().Count }, Log: log,
@@ -110,6 +119,7 @@
 	// Bulk data uses separate connections: a control call that times out closes its
 	// connection, and a large transfer would delay heartbeats on a shared one.
 	bulkPeers := vm.NewPeers(settings.InnerSecret, metricMap("inner"))
+	bulkPeers.SetAccount(v.account)
 	v.segments = disk.NewSegments(folder, v.membership, bulkPeers, batch.NewPlatformSegments(platformClient, clock, settings.BatchPlatformBytes))
 	repository := batch.NewRepository(platformClient, v.segments, clock)
 	v.caller, err = caller.New(callerConfig(settings), caller.Dependencies{
@@ -119,6 +129,7 @@
 		Dispatcher:         v.dispatcher,
 		IdempotencyRecords: idempotency.New(platformClient, clock),
 		Batches:            repository,
+		Bodies:             v.bodies,
 		AnnounceJob:        v.announceJob,
 		Ring:               ring,
 		Metrics:            metricMap("caller"),
@@ -248,10 +259,12 @@
 func (v *VM) Run(ctx context.Context) error {
 	background, stopBackground := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopBackground()
-	listeners, err := v.listen()
+	plain, err := v.listen()
 	if err != nil {
 		return err
 	}
+	listeners := v.bound(plain)
+	v.publishHeld()
 	var tasks backgroundTasks
 	tasks.start(background, func(ctx context.Context) { v.follower.Run(ctx, v.membership.IsWatcher) })
 	tasks.start(background, v.distributor.run)
@@ -295,7 +308,9 @@
 // outlive ctx, such as the drain, runs on background.
 func (v *VM) serve(ctx, background context.Context, l listeners) error {
 	callerServer := v.caller.HTTPServer()
-	operatorServer := &http.Server{Handler: operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.distributor), v.jobs, v.membership), ReadHeaderTimeout: operatorHeaderTimeout}
+	operators := operator.Handler(v.status, v.ring, operator.NewNoteHandler(v.distributor), v.jobs, v.membership)
+	operatorServer := &http.Server{Handler: v.operatorHandler(operators), ReadHeaderTimeout: operatorHeaderTimeout, IdleTimeout: operatorIdleTimeout}
+	memory.Attach(operatorServer)
 	servers, serversCtx := errgroup.WithContext(background)
 	servers.Go(func() error { return ignoreServerClosed(operatorServer.Serve(l.operators)) })
 	servers.Go(func() error { return ignoreServerClosed(callerServer.Serve(l.callers)) })
