Soak with a small crowd of bodies that stop short

Four clients at a time send all but the last byte of 1 MB and stay silent for 2 s, each half second, at one VM after the other. go test ./soak green, once.

--- a/soak/constants.go
+++ b/soak/constants.go
@@ -30,6 +30,11 @@
 	hostileInterval = 500 * time.Millisecond
 	halfCloseDelay  = 15 * time.Millisecond
 	oddJobItems     = 2
+	// shortBodies clients at a time send shortBodyBytes of a body but the last, and keep their
+	// connection for shortBodyTime; they send 8 MB a second to the fleet.
+	shortBodies    = 4
+	shortBodyBytes = 1 << 20
+	shortBodyTime  = 2 * time.Second
 	// replaceDelay is the time from the beginning of an outage until a disk VM is replaced.
 	replaceDelay = 500 * time.Millisecond
 	// limitedRate (requests per second) and limitedBurst are the limits of the limited
--- a/soak/load.go
+++ b/soak/load.go
@@ -119,6 +119,7 @@
 func (g *loadGenerator) runHostile(ctx context.Context) {
 	for i := 0; bergamotgrade.Sleep(ctx, hostileInterval); i++ {
 		caller := g.fleet.newCaller(i%g.fleet.size.entryVMs, mainKey, g.client)
+		g.running.Go(func() { g.stopShort(ctx, caller) })
 		switch i % 3 {
 		case 0:
 			reply, err := caller.Smuggle(fmt.Sprint("smuggler", i))
@@ -147,6 +148,21 @@
 	}
 }
 
+// stopShort is a small crowd of clients that send all of a body but its last byte and stay silent.
+// The VM refuses or closes them; either way it goes on to serve the others.
+func (g *loadGenerator) stopShort(ctx context.Context, caller standin.Caller) {
+	var crowd sync.WaitGroup
+	for range shortBodies {
+		crowd.Go(func() {
+			if conn, err := caller.StopShort(standin.ResumePath+"short", shortBodyBytes); err == nil {
+				bergamotgrade.Sleep(ctx, shortBodyTime)
+				_ = conn.Close()
+			}
+		})
+	}
+	crowd.Wait()
+}
+
 // runSubmission submits a job to the entry VMs in turn until one accepts it or
 // submitAttempts is reached.
 func (g *loadGenerator) runSubmission(id string, items []string) {
