--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -57,7 +57,7 @@
 		return Draining
 	case sel.evacuated[s.record.DataCentre]:
 		return Evacuated
-	case s.holdsTooMuch:
+	case sel.holdsTooMuch(s, criteria.Bytes):
 		return HoldsTooMuch
 	case now.Before(s.fullUntil):
 		return Refusing
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -18,6 +18,8 @@
 	Spare float64
 	// Avoid holds the ids of servers that failed or rejected this request before.
 	Avoid map[string]bool
+	// Bytes is the size of the request's body.
+	Bytes int64
 	// Hash breaks ties differently for each request.
 	Hash uint64
 	// FirstEventWithin and PauseWithin are the objectives for the time to the first event and for
--- a/placement/selector.go
+++ b/placement/selector.go
@@ -48,10 +48,10 @@
 	// batchStarts counts the batch runs that this VM has started since the last report.
 	batchStarts int
 	rate        serverRate
-	// holdsTooMuch is set while the server's requests hold too many bytes.
-	holdsTooMuch bool
-	cold         coldState
-	speed        serverSpeed
+	cold        coldState
+	speed       serverSpeed
+	// heldBytes is the bytes of this VM's requests at the server.
+	heldBytes int64
 }
 
 func (s *serverState) load(class Class) int { return s.ownLoad[class] + s.peerLoad[class] }
@@ -111,6 +111,8 @@
 	streamed map[string]bool
 	// firstEvents holds the mean time to the first event by service.
 	firstEvents map[string]time.Duration
+	// heldShare is the bytes of requests that each server may hold from this VM; zero is unbounded.
+	heldShare int64
 }
 
 // NewSelector returns a selector without servers for the VM.
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -36,6 +36,8 @@
 	Team    string
 	// Cost is the expected work in tokens.
 	Cost float64
+	// Bytes is the size of the request's body.
+	Bytes int64
 	// Avoid holds the ids of servers that failed or rejected the request before.
 	Avoid map[string]bool
 	// Previous is the slot that the request had before, if any: the request keeps its class and does not count as
@@ -75,7 +77,7 @@
 	q := s.queue(request.Servers)
 	class := s.classify(now, &request)
 	w := &waiter{
-		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random(), FirstEventWithin: request.LatestStart.Sub(now), PauseWithin: request.PauseObjective},
+		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Bytes: request.Bytes, Hash: s.random(), FirstEventWithin: request.LatestStart.Sub(now), PauseWithin: request.PauseObjective},
 		queue:    q, item: &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: class, Deadline: request.Deadline},
 		enteredAt: now, rejectIfLate: request.RejectIfLate, latestStart: request.LatestStart, result: make(chan grant, 1),
 	}
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -44,6 +44,8 @@
 	fullAt map[string]time.Time
 	// returns holds when the next refused client should come back.
 	returns map[returnLine]time.Time
+	// heldBytes is the bytes of requests that each server may hold from all VMs; zero is unbounded.
+	heldBytes int64
 	// batchCapacity is signalled when a batch item may get a slot.
 	batchCapacity chan struct{}
 }
@@ -72,6 +74,15 @@
 	s.schedule()
 }
 
+// SetHeldBytes sets the number of bytes of requests that a server may hold from all VMs together; zero
+// sets no bound.
+func (s *Scheduler) SetHeldBytes(total int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heldBytes = total
+	s.selector.SetHeldBytes(total, s.vms)
+}
+
 // VMCounts counts the live VMs that share the servers, this VM included.
 type VMCounts struct {
 	// Callers counts the VMs that take callers' requests.
@@ -87,6 +98,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.vms = vms.Callers
+	s.selector.SetHeldBytes(s.heldBytes, s.vms)
 	s.selector.SetRunners(vms.LocalRunners, vms.Runners)
 	s.selector.UpdatePeers(s.clock.Now(), dataCentre, byServer, suspects)
 	s.schedule()
@@ -183,9 +195,10 @@
 
 // start adds a request to the server's load and returns its slot; the caller holds the
 // lock.
-func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class) *Slot {
+func (s *Scheduler) start(now time.Time, server bergamotgrade.ServerRecord, class placement.Class, bytes int64) *Slot {
 	s.selector.AddRequest(now, server.ServerID, class)
-	return &Slot{scheduler: s, server: server, class: class, startedAt: now, concurrency: s.selector.Concurrency(server.ServerID)}
+	s.selector.AddHeldBytes(server.ServerID, bytes)
+	return &Slot{scheduler: s, server: server, class: class, bytes: bytes, startedAt: now, concurrency: s.selector.Concurrency(server.ServerID)}
 }
 
 // schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -140,14 +140,14 @@
 		}
 		q.Pop(now)
 		delete(s.waiters, item)
-		w.result <- grant{slot: s.startOnline(now, server, item)}
+		w.result <- grant{slot: s.startOnline(now, server, item, criteria.Bytes)}
 		started = true
 	}
 }
 
 // startOnline starts an online request; the caller holds the lock.
-func (s *Scheduler) startOnline(now time.Time, server bergamotgrade.ServerRecord, item *queue.Item) *Slot {
-	slot := s.start(now, server, placement.Online)
+func (s *Scheduler) startOnline(now time.Time, server bergamotgrade.ServerRecord, item *queue.Item, bytes int64) *Slot {
+	slot := s.start(now, server, placement.Online, bytes)
 	slot.cost, slot.queueClass, slot.scarce = item.Cost, item.Class, s.assess(now, server.Service).Scarce
 	return slot
 }
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -16,6 +16,8 @@
 	scheduler *Scheduler
 	server    bergamotgrade.ServerRecord
 	class     placement.Class
+	// bytes is the size of the request's body.
+	bytes     int64
 	startedAt time.Time
 	// cost is the expected work of an online request in tokens, queueClass its class in the queue.
 	cost       float64
@@ -79,6 +81,7 @@
 	if outcome == placement.OutcomeFull {
 		s.fullAt[slot.server.Service] = now
 	}
+	s.selector.AddHeldBytes(slot.server.ServerID, -slot.bytes)
 	if cancel, ok := s.batch[slot]; ok {
 		delete(s.batch, slot)
 		cancel(nil)
