Store: a call to a silent store is made through a peer after a quarter of a second

Change: while a peer reaches the store and it has answered within 50 ms lately, a read or commit fails after 250 ms and the time for its bytes, as one whose effect is not known; the next goes through the peer. Result: TestSilentStoreIsLeftForPeer.

--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// failingSince is when calls began to fail; zero while they succeed.
 	failingSince time.Time
+	// answerTime is the moving average of the time that the store takes for an answer; zero before the first.
+	answerTime time.Duration
 	// nextCallAt is the time of the next call while calls are suspended.
 	nextCallAt time.Time
 	// peersReachSince is since when other VMs have reached the store although calls fail here;
@@ -185,11 +187,12 @@
 // callStore makes one call, through a peer while the store is unreachable from this VM,
 // else directly. A call that failed at the peer is only repeated directly if it
 // certainly had no effect on the store. Only peers that may see data with the homes are used.
-// In an outage that lasts, most calls are suspended: they fail as not run.
-func callStore[A any](ctx context.Context, s *MonitoredStore, homes bergamotgrade.Homes, call func(kv bergamotgrade.KeyValue) (A, error)) (A, error) {
+// In an outage that lasts, most calls are suspended: they fail as not run. A direct call waits for the
+// patience at most while a peer reaches the store; zero sets no bound.
+func callStore[A any](ctx context.Context, s *MonitoredStore, homes bergamotgrade.Homes, patience time.Duration, call func(ctx context.Context, kv bergamotgrade.KeyValue) (A, error)) (A, error) {
 	if s.Unreachable() {
 		if peer := s.peerStore(homes); peer != nil {
-			answer, err := call(peer)
+			answer, err := call(ctx, peer)
 			if err == nil || !bergamotgrade.AsError(err).NotRun() {
 				return answer, err
 			}
@@ -199,8 +202,12 @@
 		var none A
 		return none, err
 	}
-	answer, err := call(s.kv)
+	startedAt := s.clock.Now()
+	callCtx, cancel := s.withPatience(ctx, patience)
+	defer cancel()
+	answer, err := call(callCtx, s.kv)
 	s.recordResult(ctx, err)
+	s.recordAnswerTime(err, s.clock.Now().Sub(startedAt))
 	return answer, err
 }
 
@@ -237,17 +244,21 @@
 
 // NewLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) NewLease(ctx context.Context, term time.Duration) (int64, error) {
-	return callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
+	return callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
 }
 
 // KeepLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) KeepLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.KeepLease(ctx, leaseID) })
+	_, err := callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
+		return struct{}{}, kv.KeepLease(ctx, leaseID)
+	})
 	return err
 }
 
 // EndLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) EndLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, bergamotgrade.Homes{}, func(kv bergamotgrade.KeyValue) (struct{}, error) { return struct{}{}, kv.EndLease(ctx, leaseID) })
+	_, err := callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
+		return struct{}{}, kv.EndLease(ctx, leaseID)
+	})
 	return err
 }
