Mirror: a late answer of a watch brings nothing back

Cause: a watch whose answer arrives after a newer copy from a peer put the entries that it reports into the mirror, also those that the copy no longer has. The next watch starts after their removal, so they stay until the next complete listing. An evacuation that has been withdrawn would be in force again.

Change: changes up to a revision older than the copy's are dropped; the copy includes them.

Result: TestLateWatchBringsNothingBack fails without the change (the removed entry is still there) and passes with it; the tests of follow pass.

--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -469,6 +469,9 @@
 		return err
 	}
 	m.mu.Lock()
+	if revision < m.revision {
+		changes = nil // a newer copy from a peer has arrived meanwhile, perhaps without some of the entries
+	}
 	m.revision = max(m.revision, revision)
 	now := m.clock.Now()
 	changed := m.dropExpired(now)
