Placement: servers without a cold rate are used after an evacuation

Cause: after the withdrawal of an evacuation, servers count as cold for the coldStartS of their service even if the service names no coldPerS. Their share is zero then, so no VM sends them anything for the whole period.

Change: without a rate only the spread of the first use over coldRelease applies.

Result: TestReturnWithoutColdRate fails without the change (no server is picked) and passes with it; the tests of placement and relay pass.

--- a/placement/cold.go
+++ b/placement/cold.go
@@ -104,7 +104,10 @@
 		}
 	}
 	if returnedAt, ok := sel.returnedAt[s.record.DataCentre]; ok && !c.answeredAt.After(returnedAt) {
-		extend(returnedAt.Add(service.ColdStart))
+		extend(returnedAt)
+		if service.ColdPerSecond > 0 {
+			extend(returnedAt.Add(service.ColdStart))
+		}
 	}
 	if wasCold && c.until.Before(now) {
 		// It has turned warm sooner than expected, or this VM has yet to release it.
