Limit: start levels are granted once over all VMs

Cause: a VM of a starting fleet may fetch the bucket levels of a peer that has been granted its start level, and be granted its own afterwards. The levels add up along the chain of fetches: with a rate and burst of 80 the second VM has 68 tokens and the third 80, where 34 are tolerated.

Change: tokens that came with a peer's levels count toward the grant.

--- a/limit/fleet_limiter.go
+++ b/limit/fleet_limiter.go
@@ -41,6 +41,8 @@
 	// withheld holds the tokens above the capacity of a smaller share. They come back with
 	// the share, together with the counts of what was admitted meanwhile.
 	withheld float64
+	// fetched holds the tokens that the level of a peer has added. They may be of the peer's start level.
+	fetched float64
 }
 
 // fleetGroup holds what the other VMs of one data centre have admitted.
@@ -182,7 +184,9 @@
 func (f *FleetLimiter) SetLevels(now time.Time, levels map[string]float64) {
 	for name, level := range levels {
 		if team, ok := f.teams[name]; ok {
+			before := team.bucket.Level(now)
 			team.bucket.SetLevel(now, level)
+			team.fetched = max(0, team.bucket.Level(now)-before)
 		}
 	}
 }
--- a/limit/tolerance.go
+++ b/limit/tolerance.go
@@ -27,13 +27,15 @@
 }
 
 // GrantStart adds a part of the tolerance to the buckets of all teams. It may be called once, and only if all
-// VMs have just started: otherwise others know what the teams have used. Load pattern: all VMs restart at a peak
+// VMs have just started: otherwise others know what the teams have used. Tokens that came with the levels of a
+// peer count toward it, since the peer's own grant may be among them. Load pattern: all VMs restart at a peak
 // of load, and empty buckets refuse hundreds of requests within their teams' rates in the first second.
 func (f *FleetLimiter) GrantStart(now time.Time) {
 	f.resize(now)
 	for _, team := range f.teams {
 		level := f.tolerance.startLevel(team.limits)
-		team.bucket.SetLevel(now, team.bucket.Level(now)+level*f.appliedShare)
-		team.withheld += level * (1 - f.appliedShare)
+		added := max(0, level*f.appliedShare-team.fetched)
+		team.bucket.SetLevel(now, team.bucket.Level(now)+added)
+		team.withheld += max(0, level-team.fetched-added)
 	}
 }
