--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -185,31 +185,6 @@
 	}
 }
 
-// CopySince returns this VM's copy without the entries that a VM at the given position has
-// already; it has revision zero if there is nothing newer.
-func (m *Mirror) CopySince(than Position) Copy {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if !m.loaded || !m.currentPosition().newerThan(than) {
-		return Copy{}
-	}
-	copied := Copy{Revision: m.revision, ListedAt: m.listRevision}
-	whole := than.Revision < m.listRevision || than.ListedAt < m.listRevision
-	copied.KeysOmitted = !whole && than.Revision > m.removedAt
-	for key, entry := range m.entries {
-		if !copied.KeysOmitted {
-			copied.Keys = append(copied.Keys, key)
-		}
-		if whole || entry.Revision > than.Revision {
-			copied.Entries = append(copied.Entries, entry)
-		}
-	}
-	for key := range m.pendingRemoval {
-		copied.Retained = append(copied.Retained, key)
-	}
-	return copied
-}
-
 // position returns the position of the copy.
 func (m *Mirror) position() Position {
 	m.mu.Lock()
