Store renewals have a slot of their own in outages; cold shares begin after two seconds; a VM alone waits

Found in review, with trials: watches took the single call of a suspended VM, so that renewals came 10 s apart; 36 VMs that join at once brought a cold server 31 requests in one second (30.5 allowed), as others learn of their registrations up to 2 s later; a VM whose list of registered VMs held only itself was granted start levels.

--- a/entry/fleet_start.go
+++ b/entry/fleet_start.go
@@ -23,7 +23,9 @@
 			young++
 		}
 	}
-	if 2*young <= len(v.members) {
+	// A VM that hears of no other may just not have heard of them yet.
+	isAlone := young == 1 && now.Sub(v.startedAt) < startupGrace
+	if isAlone || 2*young <= len(v.members) {
 		return
 	}
 	v.startDecided = true
--- a/follow/homes_store.go
+++ b/follow/homes_store.go
@@ -40,13 +40,13 @@
 }
 
 func (s *MonitoredStore) readWithin(ctx context.Context, homes bergamotgrade.Homes, key string, stale bool) (bergamotgrade.Entry, error) {
-	return callStore(ctx, s, homes, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (bergamotgrade.Entry, error) {
+	return callStore(ctx, s, callOptions{homes: homes, patience: patienceFor(0)}, func(ctx context.Context, kv bergamotgrade.KeyValue) (bergamotgrade.Entry, error) {
 		return kv.Read(ctx, key, stale)
 	})
 }
 
 func (s *MonitoredStore) rangeWithin(ctx context.Context, homes bergamotgrade.Homes, prefix string, stale bool) ([]bergamotgrade.Entry, int64, error) {
-	answer, err := callStore(ctx, s, homes, 0, func(ctx context.Context, kv bergamotgrade.KeyValue) (rangeResult, error) {
+	answer, err := callStore(ctx, s, callOptions{homes: homes}, func(ctx context.Context, kv bergamotgrade.KeyValue) (rangeResult, error) {
 		entries, revision, err := kv.Range(ctx, prefix, stale)
 		return rangeResult{entries, revision}, err
 	})
@@ -54,7 +54,7 @@
 }
 
 func (s *MonitoredStore) commitWithin(ctx context.Context, homes bergamotgrade.Homes, commit bergamotgrade.KeyCommit) (bergamotgrade.CommitResult, error) {
-	return callStore(ctx, s, homes, patienceFor(commitBytes(commit)), func(ctx context.Context, kv bergamotgrade.KeyValue) (bergamotgrade.CommitResult, error) {
+	return callStore(ctx, s, callOptions{homes: homes, patience: patienceFor(commitBytes(commit))}, func(ctx context.Context, kv bergamotgrade.KeyValue) (bergamotgrade.CommitResult, error) {
 		return kv.Commit(ctx, commit)
 	})
 }
--- a/follow/monitored_store.go
+++ b/follow/monitored_store.go
@@ -28,8 +28,9 @@
 	failingSince time.Time
 	// answerTime is the moving average of the time that the store takes for an answer; zero before the first.
 	answerTime time.Duration
-	// nextCallAt is the time of the next call while calls are suspended.
-	nextCallAt time.Time
+	// nextCallAt and nextRenewalAt are the times of the next call, and renewal of a lease, while calls are
+	// suspended.
+	nextCallAt, nextRenewalAt time.Time
 	// peersReachSince is since when other VMs have reached the store although calls fail here;
 	// zero while none does.
 	peersReachSince time.Time
@@ -184,26 +185,35 @@
 // Direct returns the wrapped store, whose calls never go through a peer.
 func (s *MonitoredStore) Direct() bergamotgrade.KeyValue { return s.kv }
 
+// callOptions are the options of a call to the store.
+type callOptions struct {
+	// homes are those of the data that the call carries; a peer that makes the call may see it.
+	homes bergamotgrade.Homes
+	// patience bounds a direct call while a peer reaches the store; zero sets no bound.
+	patience time.Duration
+	// isRenewal is set for the renewal of a lease.
+	isRenewal bool
+}
+
 // callStore makes one call, through a peer while the store is unreachable from this VM,
 // else directly. A call that failed at the peer is only repeated directly if it
-// certainly had no effect on the store. Only peers that may see data with the homes are used.
-// In an outage that lasts, most calls are suspended: they fail as not run. A direct call waits for the
-// patience at most while a peer reaches the store; zero sets no bound.
-func callStore[A any](ctx context.Context, s *MonitoredStore, homes bergamotgrade.Homes, patience time.Duration, call func(ctx context.Context, kv bergamotgrade.KeyValue) (A, error)) (A, error) {
+// certainly had no effect on the store. In an outage that lasts, most calls are suspended: they fail
+// as not run.
+func callStore[A any](ctx context.Context, s *MonitoredStore, options callOptions, call func(ctx context.Context, kv bergamotgrade.KeyValue) (A, error)) (A, error) {
 	if s.Unreachable() {
-		if peer := s.peerStore(homes); peer != nil {
+		if peer := s.peerStore(options.homes); peer != nil {
 			answer, err := call(ctx, peer)
 			if err == nil || !bergamotgrade.AsError(err).NotRun() {
 				return answer, err
 			}
 		}
 	}
-	if err := s.suspended(); err != nil {
+	if err := s.suspended(options.isRenewal); err != nil {
 		var none A
 		return none, err
 	}
 	startedAt := s.clock.Now()
-	callCtx, cancel := s.withPatience(ctx, patience)
+	callCtx, cancel := s.withPatience(ctx, options.patience)
 	defer cancel()
 	answer, err := call(callCtx, s.kv)
 	s.recordResult(ctx, err)
@@ -229,7 +239,7 @@
 
 // Changes implements bergamotgrade.KeyValue. It never goes through a peer.
 func (s *MonitoredStore) Changes(ctx context.Context, prefix string, after int64, wait time.Duration) ([]bergamotgrade.KeyChange, int64, error) {
-	if err := s.suspended(); err != nil {
+	if err := s.suspended(false); err != nil {
 		return nil, 0, err
 	}
 	changes, revision, err := s.kv.Changes(ctx, prefix, after, wait)
@@ -244,12 +254,12 @@
 
 // NewLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) NewLease(ctx context.Context, term time.Duration) (int64, error) {
-	return callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
+	return callStore(ctx, s, callOptions{patience: patienceFor(0)}, func(ctx context.Context, kv bergamotgrade.KeyValue) (int64, error) { return kv.NewLease(ctx, term) })
 }
 
 // KeepLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) KeepLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
+	_, err := callStore(ctx, s, callOptions{patience: patienceFor(0), isRenewal: true}, func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
 		return struct{}{}, kv.KeepLease(ctx, leaseID)
 	})
 	return err
@@ -257,7 +267,7 @@
 
 // EndLease implements bergamotgrade.KeyValue.
 func (s *MonitoredStore) EndLease(ctx context.Context, leaseID int64) error {
-	_, err := callStore(ctx, s, bergamotgrade.Homes{}, patienceFor(0), func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
+	_, err := callStore(ctx, s, callOptions{patience: patienceFor(0)}, func(ctx context.Context, kv bergamotgrade.KeyValue) (struct{}, error) {
 		return struct{}{}, kv.EndLease(ctx, leaseID)
 	})
 	return err
--- a/follow/outage_calls.go
+++ b/follow/outage_calls.go
@@ -18,17 +18,22 @@
 // suspended returns an error if the call must not be made now, else nil. Load pattern: in an outage of some
 // seconds, hundreds of VMs repeat renewals, watches, reads and commits several times a second, all of which
 // count at the store; probes are enough to detect its return.
-func (s *MonitoredStore) suspended() error {
+// Renewals do not compete with the other calls, of which there are many: leases last seconds.
+func (s *MonitoredStore) suspended(isRenewal bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.clock.Now()
 	if s.failingSince.IsZero() || now.Sub(s.failingSince) < suspendAfter {
 		return nil
 	}
-	if now.Before(s.nextCallAt) {
+	nextAt := &s.nextCallAt
+	if isRenewal {
+		nextAt = &s.nextRenewalAt
+	}
+	if now.Before(*nextAt) {
 		return bergamotgrade.NewError(bergamotgrade.KindPlatformDown, "the platform's store is unreachable; the call was not made", "try again; probes detect the store's return").WithNotRun()
 	}
-	s.nextCallAt = now.Add(suspendedCallInterval)
+	*nextAt = now.Add(suspendedCallInterval)
 	return nil
 }
 
--- a/placement/constants.go
+++ b/placement/constants.go
@@ -48,7 +48,7 @@
 	registeredRetention = 20 * time.Second
 	// coldSettle is how long a VM that has just learned of the registered VMs uses no share: until then
 	// the others do not know of it, and the VMs that start with it are not all registered.
-	coldSettle = time.Second
+	coldSettle = 2 * time.Second
 	// coldBatchFraction is the fraction of a share that batch items may use at a VM that also takes
 	// callers' requests.
 	coldBatchFraction = 1.0 / 8
