Gossip: hubs forget the work of a VM that no longer tells of it

Cause: a VM tells the end of its work once. When that status was lost, the hub counted the last work for as long as the VM was alive, and the other VMs saw a demand that nobody had. Change: a hub counts the work for askedRetention, 1.2 s, after the last status that held it. Result: TestAskedExpires, which got 500 tokens per second before the change, gets none.

--- a/gossip/asked.go
+++ b/gossip/asked.go
@@ -58,11 +58,11 @@
 	return works, works
 }
 
-// sumAsked returns the sum of the last work of the live VMs.
-func sumAsked(live []*hubRecord) []ServiceWork {
+// sumAsked returns the sum of the last work of the live VMs that they have told of within askedRetention.
+func sumAsked(now time.Time, live []*hubRecord) []ServiceWork {
 	all := make([][]share.ServiceWork, 0, len(live))
 	for _, record := range live {
-		if len(record.asked) > 0 {
+		if len(record.asked) > 0 && now.Sub(record.askedAt) <= askedRetention {
 			all = append(all, decodeWork(record.asked))
 		}
 	}
--- a/gossip/asked_test.go
+++ b/gossip/asked_test.go
@@ -93,3 +93,26 @@
 	got := fmt.Sprintf("%s %s %s", pending.full, pending.asked, pending.latest)
 	qt.Assert(t, got, qt.Equals, "full asked last")
 }
+
+// The work of a VM does not count for ever if the status that tells its end is lost.
+func TestAskedExpires(t *testing.T) {
+	h, sender, now := newHub("a", "hub", 1), askedSender{}, testStart
+	sequence := uint64(0)
+	report := func(works []share.ServiceWork, lost bool) {
+		sequence++
+		status := Status{VM: VMState{VMID: "vm1", Incarnation: 1, Callers: true}, Sequence: sequence}
+		_, status.Asked = sender.next(now, EncodeWork(works), false)
+		if !lost {
+			h.record(now, status, nil)
+		}
+	}
+	report([]share.ServiceWork{{Service: "svc", Teams: []share.TeamWork{{Team: 7, PerSecond: 500}}}}, false)
+	now = now.Add(askedInterval)
+	report([]share.ServiceWork{}, true)
+	for end := now.Add(askedRetention); now.Before(end); {
+		now = now.Add(statusInterval)
+		report([]share.ServiceWork{}, false)
+	}
+	digest, _ := h.digest(now, localVMs)
+	qt.Assert(t, digest.Asked, qt.HasLen, 0)
+}
--- a/gossip/constants.go
+++ b/gossip/constants.go
@@ -22,6 +22,9 @@
 	// askedInterval is the pause between two messages with the work that teams ask for. In the replay of package relay
 	// 0.977 of the requests of light teams were in time with 400 ms, and 0.987 with 100 ms at four times the bytes.
 	askedInterval = 400 * time.Millisecond
+	// askedRetention is how long a hub counts the work that a VM has told of: the VM repeats it while there is any, but
+	// tells the end of it once, and that status may be lost.
+	askedRetention = 3 * askedInterval
 	// listedTimeout is how long a VM counts as listed by the hubs after the last digest that
 	// lists it.
 	listedTimeout = 700 * time.Millisecond
--- a/gossip/hub.go
+++ b/gossip/hub.go
@@ -61,8 +61,9 @@
 	address *net.UDPAddr
 	// admitted holds the last known counts of the VM; nil until it has sent all of them.
 	admitted map[string]uint64
-	// asked is the last work that the VM has sent.
-	asked []ServiceWork
+	// asked is the last work that the VM has sent, at askedAt.
+	asked   []ServiceWork
+	askedAt time.Time
 	// speeds is what the VM has last told of the speed of servers, at speedsAt.
 	speeds   []bergamotgrade.ServerSpeed
 	speedsAt time.Time
@@ -94,7 +95,7 @@
 		changed = true
 	}
 	if status.Asked != nil {
-		record.asked = status.Asked
+		record.asked, record.askedAt = status.Asked, now
 	} else if known && record.status.VM.Incarnation < status.VM.Incarnation {
 		record.asked = nil
 	}
@@ -239,7 +240,7 @@
 		digest.Rates = rates
 	}
 	if digest.Roster != nil || now.Sub(state.askedSentAt) >= askedInterval {
-		asked := sumAsked(live)
+		asked := sumAsked(now, live)
 		if len(asked) > 0 || state.askedSent || digest.Roster != nil {
 			digest.Asked, state.askedSentAt, state.askedSent = asked, now, len(asked) > 0
 		}
