Shares: a request that leaves the last slots to others does not hold these up

Cause: only the first request in order was tried. One of a team over its share, which leaves the last slot of a server to others for 150 ms, held up the requests of these others behind it; while servers had turned out to be full, they were refused beside the free slot that was kept for them. Change: if the first in order finds no server because of the slots that it leaves free, the first of its class that may take the last slots is tried. queue.Take removes an item out of order and counts it as served. Result: TestLastSlotIsNotHeldUp got a refusal before the change.

--- a/queue/by_deadline.go
+++ b/queue/by_deadline.go
@@ -56,6 +56,17 @@
 	}
 }
 
+// Take removes the item, which may come after others in order, and counts it as served.
+func (q *Fair) Take(item *Item) {
+	c := &q.classes[item.Class]
+	if c.items[0] == item {
+		c.virtualTime = max(c.virtualTime, item.finishTag)
+	}
+	heap.Remove(&c.items, item.heapIndex)
+	c.removeFromTeam(item, false)
+	q.removed(item)
+}
+
 // compareOrder orders items as they are served.
 func compareOrder(a, b *Item) int {
 	return cmp.Or(cmp.Compare(a.Class, b.Class), cmp.Compare(a.finishTag, b.finishTag), cmp.Compare(a.sequence, b.sequence))
--- a/queue/fair_test.go
+++ b/queue/fair_test.go
@@ -131,3 +131,25 @@
 	}
 	qt.Assert(t, q.Len(), qt.Equals, 0)
 }
+
+// An item that is taken out of order counts against its team as one that is served in order: the team does not come first
+// again.
+func TestTakeCountsAsServed(t *testing.T) {
+	q, deadline := NewFairByDeadline(10, 10), time.Unix(1000, 0)
+	push := func(team string) *Item {
+		item := &Item{TeamID: team, Cost: 1, Deadline: deadline}
+		q.push(item)
+		return item
+	}
+	first := push("a")
+	taken, second := push("b"), push("b")
+	q.Take(taken)
+	next, _ := q.Pop(deadline.Add(-time.Second))
+	qt.Assert(t, next, qt.Equals, first)
+	third := push("a")
+	ordered := q.Ordered()
+	qt.Assert(t, ordered, qt.HasLen, 2)
+	qt.Assert(t, ordered[0], qt.Equals, second)
+	qt.Assert(t, ordered[1], qt.Equals, third)
+	qt.Assert(t, second.startTag, qt.Equals, 1.0)
+}
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -158,3 +158,33 @@
 		}
 	}
 }
+
+// A request of a team over its share that leaves the last slot to others does not hold up the requests of these: they
+// take the slot, also if they come after it in order, and are not refused beside it.
+func TestLastSlotIsNotHeldUp(t *testing.T) {
+	for _, metFull := range []bool{false, true} {
+		a := newAdmission(t)
+		s := a.scheduler
+		s.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 2}})
+		s.observeWork("svc", 100, 700*time.Millisecond)
+		for i := range 4000 {
+			a.clock.Advance(time.Duration(i%20/19) * 10 * time.Millisecond)
+			s.ledger.Ask(a.clock.Now(), "svc", "heavy", 100, s.capacity("svc"), time.Second)
+		}
+		if metFull {
+			s.fullAt["svc"] = a.clock.Now()
+		}
+		now := a.clock.Now()
+		slot, heavy, err := s.enter(SlotRequest{Servers: replayServices, Team: "heavy", Cost: 100, LatestStart: now.Add(time.Minute), Deadline: now.Add(time.Minute), Previous: &Slot{queueClass: queue.ClassOnline}})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, slot, qt.IsNil)
+		slot, _, err = a.enter("light", 100*time.Millisecond, time.Minute)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, slot, qt.IsNotNil)
+		qt.Assert(t, heavy.result, qt.HasLen, 0)
+		// Once it has waited, the other request takes the last slot itself.
+		a.clock.Advance(spareHold)
+		slot.Release(placement.OutcomeServed)
+		qt.Assert(t, heavy.result, qt.HasLen, 1)
+	}
+}
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -132,19 +132,43 @@
 			s.end(w, grant{err: noServerError(servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))})
 			continue
 		}
-		criteria := w.criteria
-		criteria.Spare = s.spare(now, servers, w, useLast)
-		server, ok := s.selector.Pick(now, criteria)
+		server, spare, ok := s.pick(now, servers, w, useLast)
+		if !ok && spare > 0 {
+			// The last slots that the request leaves to others are for those behind it.
+			if w = s.firstWithoutSpare(now, servers, item.Class, useLast); w != nil {
+				server, _, ok = s.pick(now, servers, w, useLast)
+			}
+		}
 		if !ok {
 			return started
 		}
-		q.Pop(now)
-		delete(s.waiters, item)
-		w.result <- grant{slot: s.startOnline(now, server, item)}
+		q.Take(w.item)
+		delete(s.waiters, w.item)
+		w.result <- grant{slot: s.startOnline(now, server, w.item)}
 		started = true
 	}
 }
 
+// pick returns a server for the waiting request, and the fraction of its slots that the request leaves free. The caller
+// holds the lock.
+func (s *Scheduler) pick(now time.Time, servers bergamotgrade.ServerSet, w *waiter, useLast bool) (server bergamotgrade.ServerRecord, spare float64, ok bool) {
+	criteria := w.criteria
+	criteria.Spare = s.spare(now, servers, w, useLast)
+	server, ok = s.selector.Pick(now, criteria)
+	return server, criteria.Spare, ok
+}
+
+// firstWithoutSpare returns the first waiting request of the class that may take the last slot of a server, or nil. The
+// caller holds the lock.
+func (s *Scheduler) firstWithoutSpare(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, useLast bool) *waiter {
+	for _, item := range s.queues[servers].Ordered() {
+		if w := s.waiters[item]; item.Class == class && now.Before(item.Deadline) && s.spare(now, servers, w, useLast) == 0 {
+			return w
+		}
+	}
+	return nil
+}
+
 // startOnline starts an online request; the caller holds the lock.
 func (s *Scheduler) startOnline(now time.Time, server bergamotgrade.ServerRecord, item *queue.Item) *Slot {
 	slot := s.start(now, server, placement.Online)
