Shares: requests beyond the share come after those within it of all sets of servers

Cause: each set of servers (by homes and versions) has a queue of its own, and the sets were served in random order, each with both classes. Change: a round first starts the requests within the share of all sets, then those beyond it. Streams that have begun come first as before.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -85,7 +85,7 @@
 		wait := s.expectedWait(now, request.Servers, displaced.Class, float64(q.Len()), s.selector.ExpectedWait(now, request.Servers, 0, s.vms))
 		s.refuse(now, request.Servers, leaving, wait, leaving != w)
 	}
-	if s.startWaiting(now, request.Servers, false) {
+	if s.startWaiting(now, request.Servers, queue.ClassBeyondShare, false) {
 		s.preemptOwn()
 		s.onLoad()
 	}
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -188,3 +188,25 @@
 		qt.Assert(t, heavy.result, qt.HasLen, 1)
 	}
 }
+
+// A request beyond its team's share does not start before one within the share that waits for another set of servers,
+// whose homes or versions differ.
+func TestBeyondShareComesLastInAllSets(t *testing.T) {
+	for range 20 { // the order of sets is random
+		a := newAdmission(t)
+		now := a.clock.Now()
+		homes := bergamotgrade.ServerSet{Service: "svc", Homes: bergamotgrade.NewHomes("r")}
+		a.scheduler.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Region: "r", Slots: 1}})
+		enter := func(servers bergamotgrade.ServerSet, class queue.Class) *waiter {
+			_, w, err := a.scheduler.enter(SlotRequest{Servers: servers, Cost: 100, LatestStart: now.Add(time.Minute), Deadline: now.Add(time.Minute), Previous: &Slot{queueClass: class}})
+			qt.Assert(t, err, qt.IsNil)
+			return w
+		}
+		beyond, within := enter(homes, queue.ClassBeyondShare), enter(replayServices, queue.ClassOnline)
+		a.slot.Release(placement.OutcomeServed)
+		qt.Assert(t, within.result, qt.HasLen, 1)
+		qt.Assert(t, beyond.result, qt.HasLen, 0)
+		(<-within.result).slot.Release(placement.OutcomeServed)
+		qt.Assert(t, beyond.result, qt.HasLen, 1)
+	}
+}
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -193,8 +193,19 @@
 func (s *Scheduler) schedule() {
 	now := s.clock.Now()
 	started := false
-	for _, servers := range s.sortedQueues() {
-		started = s.startWaiting(now, servers, false) || started
+	sets := s.sortedQueues()
+	// Requests beyond the share come after those within it of all sets, except streams that have begun.
+	for _, servers := range sets {
+		last := queue.ClassOnline
+		if servers.OneVersion {
+			last = queue.ClassBeyondShare
+		}
+		started = s.startWaiting(now, servers, last, false) || started
+	}
+	for _, servers := range sets {
+		if !servers.OneVersion && s.queues[servers].LenOf(queue.ClassOnline) == 0 {
+			started = s.startWaiting(now, servers, queue.ClassBeyondShare, false) || started
+		}
 		s.refuseOverdue(now, servers)
 	}
 	s.preemptOwn()
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -114,9 +114,9 @@
 	return lastSlot
 }
 
-// startWaiting starts the waiting requests of the set that get a slot, in order; useLast lets requests beyond the share
-// use the last slots of servers. It reports whether any was started. The caller holds the lock.
-func (s *Scheduler) startWaiting(now time.Time, servers bergamotgrade.ServerSet, useLast bool) (started bool) {
+// startWaiting starts the waiting requests of the set that get a slot, in order, up to the class last; useLast lets
+// requests beyond the share use the last slots of servers. It reports whether any was started. The caller holds the lock.
+func (s *Scheduler) startWaiting(now time.Time, servers bergamotgrade.ServerSet, last queue.Class, useLast bool) (started bool) {
 	q := s.queues[servers]
 	isGone := q.Len() > 0 && !s.selector.HasServer(now, servers)
 	for {
@@ -128,6 +128,9 @@
 			return started
 		}
 		w := s.waiters[item]
+		if !isGone && item.Class > last {
+			return started
+		}
 		if isGone {
 			s.end(w, grant{err: noServerError(servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))})
 			continue
@@ -192,7 +195,7 @@
 		if late == nil {
 			return
 		}
-		if s.startWaiting(now, servers, true) {
+		if s.startWaiting(now, servers, queue.ClassBeyondShare, true) {
 			s.preemptOwn()
 			s.onLoad()
 			continue
