Shares: a team's requests are ordered by when their clients first asked, whatever the route's timeout

Cause: the order within a team, and what counts as a request that comes back, went by the remaining time alone. Of a team with two routes, the one with the longer timeout came last and was refused. Change: the deadline less the route's timeout orders the requests of a team; the ledger compares the remaining part of the timeout.

--- a/queue/by_deadline.go
+++ b/queue/by_deadline.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"container/heap"
 	"slices"
+	"time"
 )
 
 // NewFairByDeadline returns a queue like NewFair in which the items of a team are ordered by deadline. The cost of an
@@ -14,11 +15,18 @@
 	return q
 }
 
+func (item *Item) due() time.Time {
+	if item.Due.IsZero() {
+		return item.Deadline
+	}
+	return item.Due
+}
+
 // insertByDeadline moves a pushed item to its place among the items of its team.
 func (c *classQueue) insertByDeadline(item *Item) {
 	items := c.byTeam[item.TeamID]
 	at, _ := slices.BinarySearchFunc(items, item, func(a, b *Item) int {
-		return cmp.Or(a.Deadline.Compare(b.Deadline), cmp.Compare(a.sequence, b.sequence))
+		return cmp.Or(a.due().Compare(b.due()), cmp.Compare(a.sequence, b.sequence))
 	})
 	start := item.startTag
 	if at < len(items) {
@@ -108,11 +116,11 @@
 	var other *Item
 	switch item.Class {
 	case ClassOnline:
-		if beyond := q.classes[ClassBeyondShare].byTeam[item.TeamID]; len(beyond) > 0 && beyond[0].Deadline.Before(item.Deadline) {
+		if beyond := q.classes[ClassBeyondShare].byTeam[item.TeamID]; len(beyond) > 0 && beyond[0].due().Before(item.due()) {
 			other = beyond[0]
 		}
 	case ClassBeyondShare:
-		if within := q.classes[ClassOnline].byTeam[item.TeamID]; len(within) > 0 && item.Deadline.Before(within[len(within)-1].Deadline) {
+		if within := q.classes[ClassOnline].byTeam[item.TeamID]; len(within) > 0 && item.due().Before(within[len(within)-1].due()) {
 			other = within[len(within)-1]
 		}
 	}
--- a/queue/fair.go
+++ b/queue/fair.go
@@ -30,6 +30,8 @@
 	Cost     float64
 	Class    Class
 	Deadline time.Time
+	// Due orders the items of a team in a queue by deadline; zero selects Deadline.
+	Due time.Time
 
 	// startTag and finishTag are the virtual times at which the item's service would begin and end.
 	startTag, finishTag float64
--- a/relay/admission.go
+++ b/relay/admission.go
@@ -47,6 +47,9 @@
 	PauseObjective time.Duration
 	// Deadline ends the wait.
 	Deadline time.Time
+	// Timeout is the time until the deadline of a request that was not asked before; zero if unknown. A request that comes
+	// back has less left of it.
+	Timeout time.Duration
 	// RejectIfLate rejects the request at once if its expected start is after
 	// LatestStart.
 	RejectIfLate bool
@@ -64,6 +67,16 @@
 	return s.await(ctx, w)
 }
 
+// remaining returns the part of the timeout until the deadline, in seconds for the whole of it, so that requests with
+// different timeouts compare; the time itself if the timeout is unknown.
+func (request *SlotRequest) remaining(now time.Time) time.Duration {
+	remaining := request.Deadline.Sub(now)
+	if request.Timeout <= 0 {
+		return remaining
+	}
+	return time.Duration(float64(remaining) / float64(request.Timeout) * float64(time.Second))
+}
+
 // enter returns a slot, or the waiter of a request that has to wait. It does not block.
 func (s *Scheduler) enter(request SlotRequest) (*Slot, *waiter, error) {
 	s.mu.Lock()
@@ -76,7 +89,7 @@
 	class := s.classify(now, &request)
 	w := &waiter{
 		criteria: placement.Criteria{Servers: request.Servers, Class: placement.Online, Avoid: request.Avoid, Hash: s.random(), FirstEventWithin: request.LatestStart.Sub(now), PauseWithin: request.PauseObjective},
-		queue:    q, item: &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: class, Deadline: request.Deadline},
+		queue:    q, item: &queue.Item{TeamID: request.Team, Cost: request.Cost, Class: class, Deadline: request.Deadline, Due: request.Deadline.Add(-request.Timeout)},
 		enteredAt: now, rejectIfLate: request.RejectIfLate, latestStart: request.LatestStart, result: make(chan grant, 1),
 	}
 	s.waiters[w.item] = w
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -210,3 +210,46 @@
 		qt.Assert(t, beyond.result, qt.HasLen, 1)
 	}
 }
+
+// A route with a long timeout is not starved by the team's requests of a route with a short one: what counts is when the
+// clients first asked.
+func TestTimeoutsDoNotStarve(t *testing.T) {
+	a := newAdmission(t)
+	a.scheduler.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 7}})
+	a.slot.Release(placement.OutcomeAborted)
+	timeouts := [2]time.Duration{10 * time.Second, time.Minute}
+	served, waiting, ends := [2]int{}, map[*waiter]int{}, map[*Slot]time.Time{}
+	// Twice as many requests as the server runs, 10 a second, for a minute.
+	for step := range 1200 {
+		a.clock.Advance(50 * time.Millisecond)
+		now, kind := a.clock.Now(), step%2
+		for slot, end := range ends {
+			if !now.Before(end) {
+				delete(ends, slot)
+				slot.Release(placement.OutcomeServed)
+			}
+		}
+		start := func(kind int, slot *Slot) {
+			if slot != nil {
+				served[kind]++
+				ends[slot] = now.Add(700 * time.Millisecond)
+			}
+		}
+		slot, w, _ := a.scheduler.enter(SlotRequest{
+			Servers: replayServices, Team: "team", Cost: 100, LatestStart: now.Add(1500 * time.Millisecond),
+			Deadline: now.Add(timeouts[kind]), Timeout: timeouts[kind], RejectIfLate: true,
+		})
+		start(kind, slot)
+		if w != nil {
+			waiting[w] = kind
+		}
+		for w, kind := range waiting {
+			if len(w.result) > 0 {
+				delete(waiting, w)
+				start(kind, (<-w.result).slot)
+			}
+		}
+	}
+	qt.Assert(t, served[0] > 200, qt.IsTrue, qt.Commentf("%v", served))
+	qt.Assert(t, 2*served[1] > served[0], qt.IsTrue, qt.Commentf("%v", served))
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -46,6 +46,8 @@
 	LatestStart time.Time
 	// Deadline ends the request; it is the earlier of the caller's and the route's.
 	Deadline time.Time
+	// Timeout is the route's limit for a request, from the arrival of its first attempt to its deadline; zero if unknown.
+	Timeout time.Duration
 	// GapObjective is the route's objective for the pause between two events.
 	GapObjective time.Duration
 	// ResumeAfter is the id of the last event that the caller has received; empty
@@ -193,7 +195,7 @@
 	}
 	slot, err := run.relay.scheduler.Acquire(ctx, SlotRequest{
 		Servers: run.origin.Servers(req.Service, req.Homes), Team: req.Team, Cost: req.Cost, Avoid: run.avoid,
-		LatestStart: req.LatestStart, PauseObjective: req.GapObjective, Deadline: req.Deadline.Add(-minAttemptTime),
+		LatestStart: req.LatestStart, PauseObjective: req.GapObjective, Deadline: req.Deadline.Add(-minAttemptTime), Timeout: max(0, req.Timeout-minAttemptTime),
 		RejectIfLate: run.runs == 0 && run.isEarly(), Previous: run.slot,
 	})
 	if errors.Is(err, errServersCold) {
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -87,7 +87,7 @@
 	if request.Previous != nil {
 		return request.Previous.queueClass
 	}
-	if s.ledger.Ask(now, service, request.Team, max(1, request.Cost), s.capacity(service), request.Deadline.Sub(now)) {
+	if s.ledger.Ask(now, service, request.Team, max(1, request.Cost), s.capacity(service), request.remaining(now)) {
 		return queue.ClassOnline
 	}
 	return queue.ClassBeyondShare
--- a/share/ledger.go
+++ b/share/ledger.go
@@ -114,7 +114,8 @@
 }
 
 // Ask records a request of the team and reports whether it is within the team's share of the capacity, in tokens per
-// second of all VMs. remaining is the time until the client's deadline.
+// second of all VMs. remaining is the time until the client's deadline, in a unit in which fresh requests have about the
+// same.
 func (l *Ledger) Ask(now time.Time, service, team string, cost, capacity float64, remaining time.Duration) (within bool) {
 	l.begin(now)
 	s := l.service(service)
