Admission: requests that wait for servers to turn warm count their wait once

Cause: with all servers of a set cold and no share of them at this VM, the expected wait is the time until the first turns warm; admission by position multiplied it by the number of requests ahead and refused requests that would have started in time, from the third on with an objective of 1.5 s and servers that turn warm in 1 s. Change: Selector.Pace separates the time until the first start from that between two, which then goes by the slots of the servers that turn warm.

--- a/relay/admission.go
+++ b/relay/admission.go
@@ -95,7 +95,7 @@
 	s.waiters[w.item] = w
 	if displaced := q.PushDisplacing(w.item); displaced != nil {
 		leaving := s.waiters[displaced]
-		wait := s.expectedWait(now, request.Servers, displaced.Class, float64(q.Len()), s.selector.ExpectedWait(now, request.Servers, 0, s.vms))
+		wait := s.expectedWait(now, request.Servers, displaced.Class, float64(q.Len()), s.selector.Pace(now, request.Servers, s.vms))
 		s.refuse(now, request.Servers, leaving, wait, leaving != w)
 	}
 	if s.startWaiting(now, request.Servers, queue.ClassBeyondShare, false) {
--- a/relay/cold_test.go
+++ b/relay/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -41,3 +42,21 @@
 		qt.Assert(t, retryIn >= test.least-50*time.Millisecond && retryIn <= test.most, qt.IsTrue, qt.Commentf("%s", retryIn))
 	}
 }
+
+// Requests that wait for cold servers of which this VM has no share are not refused as if these took one request each time
+// they turn warm.
+func TestWaitForWarmServersIsOne(t *testing.T) {
+	a := newAdmission(t)
+	a.scheduler.SetServices(map[string]bergamotgrade.FleetService{"svc": {Name: "svc", ColdPerSecond: 17, ColdStart: time.Second}}, 0)
+	records := map[string]bergamotgrade.ServerRecord{}
+	for i := range 10 {
+		id := fmt.Sprint("cold", i)
+		records[id] = bergamotgrade.ServerRecord{ServerID: id, Service: "svc", DataCentre: "here", Slots: 8, ColdRemaining: time.Second}
+	}
+	a.scheduler.SetServers(records)
+	for range 20 {
+		_, w, err := a.enter("team", 1500*time.Millisecond, 10*time.Second)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, w, qt.IsNotNil)
+	}
+}
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -214,7 +214,7 @@
 	for _, item := range q.Ordered() {
 		w := s.waiters[item]
 		if item.Class == queue.ClassBeyondShare && w.rejectIfLate && now.After(w.latestStart) {
-			s.refuse(now, servers, w, s.expectedWait(now, servers, item.Class, 0, s.selector.ExpectedWait(now, servers, 0, s.vms)), true)
+			s.refuse(now, servers, w, s.expectedWait(now, servers, item.Class, 0, s.selector.Pace(now, servers, s.vms)), true)
 		}
 	}
 }
@@ -222,12 +222,12 @@
 // firstLate returns the first request, from the arrived one on, that would start past its objective, and its expected
 // wait.
 func (s *Scheduler) firstLate(now time.Time, servers bergamotgrade.ServerSet, arrived *waiter) (*waiter, time.Duration) {
-	perRequest := s.selector.ExpectedWait(now, servers, 0, s.vms)
+	pace := s.selector.Pace(now, servers, s.vms)
 	ahead, reached := 0.0, false
 	for _, item := range arrived.queue.Ordered() {
 		w := s.waiters[item]
 		reached = reached || w == arrived
-		wait := s.expectedWait(now, servers, item.Class, ahead, perRequest)
+		wait := s.expectedWait(now, servers, item.Class, ahead, pace)
 		if reached && w.rejectIfLate && now.Add(wait).After(w.latestStart) {
 			return w, wait
 		}
@@ -236,12 +236,11 @@
 	return nil, 0
 }
 
-// expectedWait returns the time until a request of the class starts, if ahead mean requests of this VM start before it
-// and this VM gets a slot each perRequest.
-func (s *Scheduler) expectedWait(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, ahead float64, perRequest time.Duration) time.Duration {
-	wait := (ahead + 1) * float64(perRequest)
+// expectedWait returns the time until a request of the class starts, if ahead mean requests of this VM start before it.
+func (s *Scheduler) expectedWait(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, ahead float64, pace placement.Pace) time.Duration {
+	wait := float64(pace.First) + ahead*float64(pace.Each)
 	if class == queue.ClassBeyondShare && s.assess(now, servers.Service).Scarce {
-		wait += (1/beyondShareRate - 1) * float64(perRequest)
+		wait += (1/beyondShareRate - 1) * float64(pace.Each)
 	}
 	return time.Duration(wait)
 }
