Capacity: runs that a pause of the process lengthened are not counted

Cause: after a pause of the process all its runs seemed long. Change: the scheduler notices a pause of more than a second between two calls of StartWaiting, and leaves the runs that began before it out of the mean run times. Result: TestPauseDoesNotLowerCapacity fails with the former capacity if the pause is not noticed.

--- a/placement/selector.go
+++ b/placement/selector.go
@@ -262,7 +262,7 @@
 )
 
 // RemoveRequest removes a request that has ended from this VM's load and updates the
-// server's health by the outcome; ran is the request's run time.
+// server's health by the outcome; ran is the request's run time, zero if unknown.
 func (sel *Selector) RemoveRequest(now time.Time, serverID string, class Class, outcome Outcome, ran time.Duration) {
 	s, ok := sel.servers[serverID]
 	if !ok {
@@ -273,7 +273,7 @@
 	case OutcomeServed:
 		s.failures, s.ejections = 0, 0
 		s.ejectedUntil = time.Time{}
-		if class == Online {
+		if class == Online && ran > 0 {
 			// The run time of a server of mean speed.
 			sel.runTime += time.Duration(runTimeWeight * (float64(ran)/sel.slowness(s) - float64(sel.runTime)))
 		}
--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -266,3 +266,32 @@
 	a.scheduler.StartWaiting()
 	qt.Assert(t, w.result, qt.HasLen, 1)
 }
+
+// A pause of the process does not make servers seem slow, which would put the requests of all teams beyond their shares.
+func TestPauseDoesNotLowerCapacity(t *testing.T) {
+	a := newAdmission(t)
+	s := a.scheduler
+	s.SetServers(map[string]bergamotgrade.ServerRecord{"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 8}})
+	run := func(duration time.Duration) {
+		var slots []*Slot
+		for range 7 {
+			slot, _, err := a.enter("team", time.Minute, time.Minute)
+			qt.Assert(t, err, qt.IsNil)
+			slots = append(slots, slot)
+		}
+		a.clock.Advance(duration)
+		for _, slot := range slots {
+			slot.Release(placement.OutcomeServed)
+		}
+	}
+	s.StartWaiting()
+	run(700 * time.Millisecond)
+	s.StartWaiting()
+	before := s.capacity("svc")
+	run(10 * time.Second)
+	s.StartWaiting()
+	qt.Assert(t, s.capacity("svc"), qt.Equals, before)
+	qt.Assert(t, s.selector.ExpectedWait(a.clock.Now(), replayServices, 0, 1) < 100*time.Millisecond, qt.IsTrue)
+	run(700 * time.Millisecond)
+	qt.Assert(t, s.work["svc"].runs, qt.Equals, 14)
+}
--- a/relay/constants.go
+++ b/relay/constants.go
@@ -45,6 +45,9 @@
 	// minRetryAfter is the shortest retry delay that a rejected caller is asked for;
 	// it is about the time until the next slot is released.
 	minRetryAfter = 50 * time.Millisecond
+	// maxLookPause is the time between two calls of StartWaiting from which the process counts as paused. The times of
+	// the runs before tell nothing of servers: with 8 runs, a pause of 10 s left a fifth of the capacity.
+	maxLookPause = time.Second
 	// workWeight is the weight of the latest request in the moving averages of cost and run time.
 	workWeight = 0.05
 	// spareHold is how long a request beyond its team's share leaves the last slots of servers to requests of other
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -44,6 +44,8 @@
 	fullAt map[string]time.Time
 	// returns holds when the next refused client should come back.
 	returns map[returnLine]time.Time
+	// lookedAt is when StartWaiting was last called, resumedAt when the process last went on after a pause.
+	lookedAt, resumedAt time.Time
 	// batchCapacity is signalled when a batch item may get a slot.
 	batchCapacity chan struct{}
 }
@@ -189,15 +191,27 @@
 }
 
 // StartWaiting starts the waiting requests that get a slot because time has passed: a server no longer refuses, a cold one
-// may get another request, a request no longer leaves the last slots to others.
+// may get another request, a request no longer leaves the last slots to others. It is called at regular intervals, far
+// shorter than maxLookPause.
 func (s *Scheduler) StartWaiting() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.noticePause(now)
+	s.lookedAt = now
 	if len(s.waiters) > 0 {
 		s.schedule()
 	}
 }
 
+// noticePause notices that the process did not run for a while: the caller of StartWaiting was late. The caller holds the
+// lock.
+func (s *Scheduler) noticePause(now time.Time) {
+	if !s.lookedAt.IsZero() && now.Sub(s.lookedAt) > maxLookPause {
+		s.resumedAt = now
+	}
+}
+
 // schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
 // batchCapacity; the caller holds the lock.
 func (s *Scheduler) schedule() {
--- a/relay/slot.go
+++ b/relay/slot.go
@@ -72,9 +72,14 @@
 func (s *Scheduler) release(slot *Slot, outcome placement.Outcome) {
 	s.mu.Lock()
 	now := s.clock.Now()
-	s.selector.RemoveRequest(now, slot.server.ServerID, slot.class, outcome, now.Sub(slot.startedAt))
-	if outcome == placement.OutcomeServed && slot.class == placement.Online {
-		s.observeWork(slot.server.Service, slot.cost, now.Sub(slot.startedAt))
+	s.noticePause(now)
+	ran := now.Sub(slot.startedAt)
+	if slot.startedAt.Before(s.resumedAt) {
+		ran = 0 // includes a pause of this process
+	}
+	s.selector.RemoveRequest(now, slot.server.ServerID, slot.class, outcome, ran)
+	if outcome == placement.OutcomeServed && slot.class == placement.Online && ran > 0 {
+		s.observeWork(slot.server.Service, slot.cost, ran)
 	}
 	if outcome == placement.OutcomeFull {
 		s.fullAt[slot.server.Service] = now
