Waiting requests: one that avoids a server does not hold up others there

Cause: only the first request in order was tried. A repeat that avoids the server that rejected it kept all requests behind it from that server; fresh ones were refused beside its free slot. Change: if the first in order finds no server, the first that may take last slots and the first that also avoids no server are tried, as for requests that leave the last slots to others.

--- a/relay/admission_test.go
+++ b/relay/admission_test.go
@@ -295,3 +295,25 @@
 	run(700 * time.Millisecond)
 	qt.Assert(t, s.work["svc"].runs, qt.Equals, 14)
 }
+
+// A request that avoids the only server with a free slot, because that rejected it before, does not hold up others.
+func TestAvoidedServerIsNotHeldUp(t *testing.T) {
+	a := newAdmission(t)
+	s := a.scheduler
+	s.SetServers(map[string]bergamotgrade.ServerRecord{
+		"a": {ServerID: "a", Service: "svc", DataCentre: "here", Slots: 1},
+		"b": {ServerID: "b", Service: "svc", DataCentre: "here", Slots: 1},
+	})
+	slot, _, err := a.enter("other", time.Minute, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	now := a.clock.Now()
+	_, repeated, err := s.enter(SlotRequest{Servers: replayServices, Team: "repeated", Cost: 100, Avoid: map[string]bool{"b": true}, LatestStart: now.Add(time.Minute), Deadline: now.Add(time.Minute)})
+	qt.Assert(t, err, qt.IsNil)
+	_, fresh, err := a.enter("fresh", time.Minute, time.Minute)
+	qt.Assert(t, err, qt.IsNil)
+	slot.Release(placement.OutcomeServed)
+	qt.Assert(t, fresh.result, qt.HasLen, 1)
+	qt.Assert(t, repeated.result, qt.HasLen, 0)
+	a.slot.Release(placement.OutcomeServed)
+	qt.Assert(t, repeated.result, qt.HasLen, 1)
+}
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -136,10 +136,13 @@
 			continue
 		}
 		server, spare, ok := s.pick(now, servers, w, useLast)
-		if !ok && spare > 0 {
-			// The last slots that the request leaves to others are for those behind it.
-			if w = s.firstWithoutSpare(now, servers, item.Class, useLast); w != nil {
-				server, _, ok = s.pick(now, servers, w, useLast)
+		if !ok && (spare > 0 || len(w.criteria.Avoid) > 0) {
+			// Servers that the request avoids, and the last slots that it leaves to others, are for those behind it.
+			for _, mayAvoid := range []bool{true, false} {
+				if other := s.firstForLast(now, servers, item.Class, mayAvoid, useLast); other != nil && other != w && !ok {
+					w = other
+					server, _, ok = s.pick(now, servers, w, useLast)
+				}
 			}
 		}
 		if !ok {
@@ -161,11 +164,12 @@
 	return server, criteria.Spare, ok
 }
 
-// firstWithoutSpare returns the first waiting request of the class that may take the last slot of a server, or nil. The
-// caller holds the lock.
-func (s *Scheduler) firstWithoutSpare(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, useLast bool) *waiter {
+// firstForLast returns the first waiting request of the class that may take the last slot of a server, or nil; mayAvoid
+// includes those that avoid servers. The caller holds the lock.
+func (s *Scheduler) firstForLast(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, mayAvoid, useLast bool) *waiter {
 	for _, item := range s.queues[servers].Ordered() {
-		if w := s.waiters[item]; item.Class == class && now.Before(item.Deadline) && s.spare(now, servers, w, useLast) == 0 {
+		w := s.waiters[item]
+		if item.Class == class && (mayAvoid || len(w.criteria.Avoid) == 0) && now.Before(item.Deadline) && s.spare(now, servers, w, useLast) == 0 {
 			return w
 		}
 	}
