--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -46,6 +46,8 @@
 	returns map[returnLine]time.Time
 	// heldBytes is the bytes of requests that each server may hold from all VMs; zero is unbounded.
 	heldBytes int64
+	// lookedAt is when StartWaiting was last called, resumedAt when the process last went on after a pause.
+	lookedAt, resumedAt time.Time
 	// batchCapacity is signalled when a batch item may get a slot.
 	batchCapacity chan struct{}
 }
@@ -201,13 +203,46 @@
 	return &Slot{scheduler: s, server: server, class: class, bytes: bytes, startedAt: now, concurrency: s.selector.Concurrency(server.ServerID)}
 }
 
+// StartWaiting starts the waiting requests that get a slot because time has passed: a server no longer refuses, a cold one
+// may get another request, a request no longer leaves the last slots to others. It is called at regular intervals, far
+// shorter than maxLookPause.
+func (s *Scheduler) StartWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	s.noticePause(now)
+	s.lookedAt = now
+	if len(s.waiters) > 0 {
+		s.schedule()
+	}
+}
+
+// noticePause notices that the process did not run for a while: the caller of StartWaiting was late. The caller holds the
+// lock.
+func (s *Scheduler) noticePause(now time.Time) {
+	if !s.lookedAt.IsZero() && now.Sub(s.lookedAt) > maxLookPause {
+		s.resumedAt = now
+	}
+}
+
 // schedule starts waiting requests that get a slot, ends batch runs of this VM and signals
 // batchCapacity; the caller holds the lock.
 func (s *Scheduler) schedule() {
 	now := s.clock.Now()
 	started := false
-	for _, servers := range s.sortedQueues() {
-		started = s.startWaiting(now, servers, false) || started
+	sets := s.sortedQueues()
+	// Requests beyond the share come after those within it of all sets, except streams that have begun.
+	for _, servers := range sets {
+		last := queue.ClassOnline
+		if servers.OneVersion {
+			last = queue.ClassBeyondShare
+		}
+		started = s.startWaiting(now, servers, last, false) || started
+	}
+	for _, servers := range sets {
+		if !servers.OneVersion && s.queues[servers].LenOf(queue.ClassOnline) == 0 {
+			started = s.startWaiting(now, servers, queue.ClassBeyondShare, false) || started
+		}
 		s.refuseOverdue(now, servers)
 	}
 	s.preemptOwn()
--- a/relay/shares.go
+++ b/relay/shares.go
@@ -87,7 +87,7 @@
 	if request.Previous != nil {
 		return request.Previous.queueClass
 	}
-	if s.ledger.Ask(now, service, request.Team, max(1, request.Cost), s.capacity(service), request.Deadline.Sub(now)) {
+	if s.ledger.Ask(now, service, request.Team, max(1, request.Cost), s.capacity(service), request.remaining(now)) {
 		return queue.ClassOnline
 	}
 	return queue.ClassBeyondShare
@@ -114,9 +114,9 @@
 	return lastSlot
 }
 
-// startWaiting starts the waiting requests of the set that get a slot, in order; useLast lets requests beyond the share
-// use the last slots of servers. It reports whether any was started. The caller holds the lock.
-func (s *Scheduler) startWaiting(now time.Time, servers bergamotgrade.ServerSet, useLast bool) (started bool) {
+// startWaiting starts the waiting requests of the set that get a slot, in order, up to the class last; useLast lets
+// requests beyond the share use the last slots of servers. It reports whether any was started. The caller holds the lock.
+func (s *Scheduler) startWaiting(now time.Time, servers bergamotgrade.ServerSet, last queue.Class, useLast bool) (started bool) {
 	q := s.queues[servers]
 	isGone := q.Len() > 0 && !s.selector.HasServer(now, servers)
 	for {
@@ -128,23 +128,54 @@
 			return started
 		}
 		w := s.waiters[item]
+		if !isGone && item.Class > last {
+			return started
+		}
 		if isGone {
 			s.end(w, grant{err: noServerError(servers).WithRetryAt(now.Add(jitteredDelay(minRetryAfter * 4)))})
 			continue
 		}
-		criteria := w.criteria
-		criteria.Spare = s.spare(now, servers, w, useLast)
-		server, ok := s.selector.Pick(now, criteria)
+		server, spare, ok := s.pick(now, servers, w, useLast)
+		if !ok && (spare > 0 || len(w.criteria.Avoid) > 0) {
+			// Servers that the request avoids, and the last slots that it leaves to others, are for those behind it.
+			for _, mayAvoid := range []bool{true, false} {
+				if other := s.firstForLast(now, servers, item.Class, mayAvoid, useLast); other != nil && other != w && !ok {
+					w = other
+					server, _, ok = s.pick(now, servers, w, useLast)
+				}
+			}
+		}
 		if !ok {
 			return started
 		}
-		q.Pop(now)
-		delete(s.waiters, item)
-		w.result <- grant{slot: s.startOnline(now, server, item, criteria.Bytes)}
+		q.Take(w.item)
+		delete(s.waiters, w.item)
+		w.result <- grant{slot: s.startOnline(now, server, w.item, w.criteria.Bytes)}
 		started = true
 	}
 }
 
+// pick returns a server for the waiting request, and the fraction of its slots that the request leaves free. The caller
+// holds the lock.
+func (s *Scheduler) pick(now time.Time, servers bergamotgrade.ServerSet, w *waiter, useLast bool) (server bergamotgrade.ServerRecord, spare float64, ok bool) {
+	criteria := w.criteria
+	criteria.Spare = s.spare(now, servers, w, useLast)
+	server, ok = s.selector.Pick(now, criteria)
+	return server, criteria.Spare, ok
+}
+
+// firstForLast returns the first waiting request of the class that may take the last slot of a server, or nil; mayAvoid
+// includes those that avoid servers. The caller holds the lock.
+func (s *Scheduler) firstForLast(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, mayAvoid, useLast bool) *waiter {
+	for _, item := range s.queues[servers].Ordered() {
+		w := s.waiters[item]
+		if item.Class == class && (mayAvoid || len(w.criteria.Avoid) == 0) && now.Before(item.Deadline) && s.spare(now, servers, w, useLast) == 0 {
+			return w
+		}
+	}
+	return nil
+}
+
 // startOnline starts an online request; the caller holds the lock.
 func (s *Scheduler) startOnline(now time.Time, server bergamotgrade.ServerRecord, item *queue.Item, bytes int64) *Slot {
 	slot := s.start(now, server, placement.Online, bytes)
@@ -168,7 +199,7 @@
 		if late == nil {
 			return
 		}
-		if s.startWaiting(now, servers, true) {
+		if s.startWaiting(now, servers, queue.ClassBeyondShare, true) {
 			s.preemptOwn()
 			s.onLoad()
 			continue
@@ -187,7 +218,7 @@
 	for _, item := range q.Ordered() {
 		w := s.waiters[item]
 		if item.Class == queue.ClassBeyondShare && w.rejectIfLate && now.After(w.latestStart) {
-			s.refuse(now, servers, w, s.expectedWait(now, servers, item.Class, 0, s.selector.ExpectedWait(now, servers, 0, s.vms)), true)
+			s.refuse(now, servers, w, s.expectedWait(now, servers, item.Class, 0, s.selector.Pace(now, servers, s.vms)), true)
 		}
 	}
 }
@@ -195,12 +226,12 @@
 // firstLate returns the first request, from the arrived one on, that would start past its objective, and its expected
 // wait.
 func (s *Scheduler) firstLate(now time.Time, servers bergamotgrade.ServerSet, arrived *waiter) (*waiter, time.Duration) {
-	perRequest := s.selector.ExpectedWait(now, servers, 0, s.vms)
+	pace := s.selector.Pace(now, servers, s.vms)
 	ahead, reached := 0.0, false
 	for _, item := range arrived.queue.Ordered() {
 		w := s.waiters[item]
 		reached = reached || w == arrived
-		wait := s.expectedWait(now, servers, item.Class, ahead, perRequest)
+		wait := s.expectedWait(now, servers, item.Class, ahead, pace)
 		if reached && w.rejectIfLate && now.Add(wait).After(w.latestStart) {
 			return w, wait
 		}
@@ -209,12 +240,11 @@
 	return nil, 0
 }
 
-// expectedWait returns the time until a request of the class starts, if ahead mean requests of this VM start before it
-// and this VM gets a slot each perRequest.
-func (s *Scheduler) expectedWait(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, ahead float64, perRequest time.Duration) time.Duration {
-	wait := (ahead + 1) * float64(perRequest)
+// expectedWait returns the time until a request of the class starts, if ahead mean requests of this VM start before it.
+func (s *Scheduler) expectedWait(now time.Time, servers bergamotgrade.ServerSet, class queue.Class, ahead float64, pace placement.Pace) time.Duration {
+	wait := float64(pace.First) + ahead*float64(pace.Each)
 	if class == queue.ClassBeyondShare && s.assess(now, servers.Service).Scarce {
-		wait += (1/beyondShareRate - 1) * float64(perRequest)
+		wait += (1/beyondShareRate - 1) * float64(pace.Each)
 	}
 	return time.Duration(wait)
 }
