--- a/relay/relay.go
+++ b/relay/relay.go
@@ -2,10 +2,8 @@
 
 import (
 	"context"
-	"io"
 	"log/slog"
 	"net/http"
-	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,59 +12,6 @@
 	"github.com/bergamotgrade/bergamotgrade/placement"
 )
 
-// Request is an opaque request that is proxied to a backend server.
-type Request struct {
-	RequestID string
-	Method    string
-	Target    string
-	Host      string
-	Header    http.Header
-	Body      []byte
-	Team      string
-	// PromptParts holds the ids of the parts of the prompt in order; other requests may
-	// share them.
-	PromptParts []string
-	// Fingerprint is what the request has in common with its repeats.
-	Fingerprint string
-	Service     string
-	// Services holds the services that may run requests of the route.
-	Services []string
-	// Homes are the regions of the servers that may run the request.
-	Homes bergamotgrade.Homes
-	// Streams marks a request whose response is an event stream.
-	Streams bool
-	// Repeatable allows the request to run more than once; a repeatable stream is
-	// resumed at another server.
-	Repeatable bool
-	// MaxAttempts bounds the servers that may run the request.
-	MaxAttempts int
-	// Cost is the expected work in tokens.
-	Cost float64
-	// LatestStart is the latest start that still meets the route's objective.
-	LatestStart time.Time
-	// Deadline ends the request; it is the earlier of the caller's and the route's.
-	Deadline time.Time
-	// GapObjective is the route's objective for the pause between two events.
-	GapObjective time.Duration
-	// ResumeAfter is the id of the last event that the caller has received; empty
-	// starts with the first event.
-	ResumeAfter string
-	// Resumes is the id of the request that brought the caller the first event.
-	Resumes string
-}
-
-func (req *Request) traits() bergamotgrade.RequestTraits {
-	return bergamotgrade.RequestTraits{PromptParts: req.PromptParts, Fingerprint: req.Fingerprint}
-}
-
-// Responder sends the response of one request to the caller.
-type Responder interface {
-	// Begin sends status and headers; length is -1 if the body's length is unknown.
-	Begin(status int, header http.Header, length int64) error
-	// Write sends and flushes a part of the body.
-	Write(data []byte) error
-}
-
 // Relay proxies requests to backend servers.
 type Relay struct {
 	clock     bergamotgrade.Clock
@@ -314,48 +259,6 @@
 // canGoOn reports whether another answer can bring what the caller still lacks.
 func (run *requestRun) canGoOn() bool { return !run.bodyBegun && run.events.CanResume() }
 
-// handleNotRun ends an attempt that no server has run. Another attempt follows until
-// maxRejections attempts were rejected or too little time is left.
-func (run *requestRun) handleNotRun(ctx context.Context, slot *Slot, outcome placement.Outcome, cause error) (done bool, _ error) {
-	if ctx.Err() != nil {
-		slot.Release(placement.OutcomeAborted)
-		return true, run.contextError(ctx, cause)
-	}
-	slot.Release(outcome)
-	run.avoid[slot.Server().ServerID] = true
-	run.relay.observer.Count("attempts_refused")
-	run.relay.log.Info("server did not run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "cause", cause.Error())
-	if run.rejections++; run.rejections >= slot.maxRejections(run.isEarly()) || run.relay.clock.Now().After(run.req.Deadline.Add(-minAttemptTime)) {
-		return true, overloadedError().WithCause(cause).WithRetryAt(run.relay.scheduler.FullReturn(slot))
-	}
-	return false, nil
-}
-
-// handleFailure ends an attempt that a server may have run. Only repeatable requests
-// are attempted again.
-func (run *requestRun) handleFailure(ctx context.Context, slot *Slot, cause error) (done bool, _ error) {
-	if ctx.Err() != nil {
-		slot.Release(placement.OutcomeAborted)
-		return true, run.contextError(ctx, cause)
-	}
-	slot.Release(placement.OutcomeFailed)
-	run.avoid[slot.Server().ServerID] = true
-	if bergamotgrade.IsConnectionLoss(cause) {
-		if run.events.Last() == run.resumedAfter {
-			run.lostConnections++
-		}
-		run.relay.guard.ConnectionLost(slot.Server(), run.req.traits(), run.sentAt)
-	}
-	again := run.req.Repeatable && run.canGoOn() && run.runs < run.req.MaxAttempts && run.lostConnections < maxLostConnections && run.relay.clock.Now().Before(run.req.Deadline.Add(-minAttemptTime))
-	run.relay.observer.Count("attempts_failed")
-	run.relay.log.Info("server failed and may have run the request", "request_id", run.req.RequestID, "server", slot.Server().ServerID, "version", slot.Server().SoftwareVersion, "cause", cause.Error(),
-		"attempt", run.runs, "resumes", run.req.Resumes, "last_event_id", run.events.Last(), "prompt_parts", run.req.PromptParts, "fingerprint", run.req.Fingerprint, "again", again)
-	if again {
-		return false, nil
-	}
-	return true, bergamotgrade.NewError(bergamotgrade.KindOutcomeUnknown, "the backend server failed and may have run the request", "check its effect before sending it again").WithCause(cause)
-}
-
 // contextError returns a KindDeadlineExceeded error caused by err if the deadline
 // ended the context, else err itself.
 func (run *requestRun) contextError(ctx context.Context, err error) error {
@@ -364,129 +267,3 @@
 	}
 	return err
 }
-
-// forward sends a successful response to the caller.
-func (run *requestRun) forward(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) error {
-	if run.req.Streams {
-		return run.forwardEvents(server, answer)
-	}
-	return run.forwardBody(answer)
-}
-
-// forwardEvents sends each event to the caller as soon as it is complete.
-func (run *requestRun) forwardEvents(server bergamotgrade.ServerRecord, answer *bergamotgrade.Answer) error {
-	resumed := run.headSent
-	if resumed && mediaType(answer.Header) != run.mediaType {
-		return errors.Newf("content type %q does not go on with a stream of type %q", mediaType(answer.Header), run.mediaType)
-	}
-	events := NewEventReader(answer.Body)
-	for received := 0; ; received++ {
-		event, err := events.Next()
-		if err == io.EOF && received == 0 && answer.EndsWithConnection {
-			return io.ErrUnexpectedEOF // the server ended before its first event
-		}
-		if err == io.EOF && received == 0 && run.events.Last() != "" && !run.confirmEnd(server) {
-			return errors.Newf("nothing follows event %q", run.events.Last())
-		}
-		if err == io.EOF {
-			return run.sendHead(answer, -1)
-		}
-		if err != nil {
-			return err
-		}
-		if err := run.events.Append(event); err != nil {
-			return err
-		}
-		if received == 0 && event.ID == "" && run.events.Last() != "" {
-			received-- // no part of the stream
-			continue
-		}
-		if run.origin.IsZero() {
-			run.origin = bergamotgrade.OriginOf(server)
-		}
-		if err := run.sendHead(answer, -1); err != nil {
-			return err
-		}
-		if err := run.send(event.Raw); err != nil {
-			return err
-		}
-		if event.HasData() {
-			answer.MadeProgress()
-			run.timer.Event()
-		}
-	}
-}
-
-// confirmEnd reports whether a stream is complete after its last event: another server had nothing
-// to go on with either. One alone may be in trouble.
-func (run *requestRun) confirmEnd(server bergamotgrade.ServerRecord) bool {
-	last := run.events.Last()
-	confirmed := run.emptyServerID != "" && run.emptyServerID != server.ServerID && run.emptyAfter == last
-	run.emptyServerID, run.emptyAfter = server.ServerID, last
-	return confirmed
-}
-
-// forwardBody sends a response that is not an event stream. A body of at most
-// maxBufferedBytes is sent only once it is complete.
-func (run *requestRun) forwardBody(answer *bergamotgrade.Answer) error {
-	buffered := make([]byte, 0, readBufferBytes)
-	chunk := make([]byte, readBufferBytes)
-	for {
-		n, err := answer.Body.Read(chunk)
-		switch {
-		case run.bodyBegun:
-			if writeErr := run.send(chunk[:n]); writeErr != nil {
-				return writeErr
-			}
-		default:
-			buffered = append(buffered, chunk[:n]...)
-		}
-		if err != nil && err != io.EOF {
-			return err
-		}
-		if !run.bodyBegun && (err == io.EOF || len(buffered) > maxBufferedBytes) {
-			run.bodyBegun = true
-			if headErr := run.sendHead(answer, answer.Length); headErr != nil {
-				return headErr
-			}
-			if writeErr := run.send(buffered); writeErr != nil {
-				return writeErr
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-	}
-}
-
-// mediaType returns the type in the Content-Type header, without its parameters.
-func mediaType(header http.Header) string {
-	name, _, _ := strings.Cut(header.Get("Content-Type"), ";")
-	return strings.ToLower(strings.TrimSpace(name))
-}
-
-// sendHead sends status and headers unless an earlier attempt has sent them.
-func (run *requestRun) sendHead(answer *bergamotgrade.Answer, length int64) error {
-	if run.headSent {
-		return nil
-	}
-	run.headSent, run.mediaType = true, mediaType(answer.Header)
-	now := run.relay.clock.Now()
-	run.relay.observer.Observe("first_event", now.Sub(run.arrivedAt))
-	if now.After(run.req.LatestStart) {
-		run.relay.log.Info("response began after its objective", "request_id", run.req.RequestID, "server", run.serverID, "took", now.Sub(run.arrivedAt).String(),
-			"sent_after", run.sentAt.Sub(run.arrivedAt).String(), "runs", run.runs, "rejections", run.rejections)
-	}
-	run.callerErr = run.out.Begin(answer.Status, answer.Header, length)
-	return run.callerErr
-}
-
-func (run *requestRun) send(data []byte) error {
-	if len(data) == 0 {
-		return nil
-	}
-	before := run.relay.clock.Now()
-	run.callerErr = run.out.Write(data)
-	run.timer.WaitedForCaller(run.relay.clock.Now().Sub(before))
-	return run.callerErr
-}
