placement: choose the server of a hedged request

A hedged request is extra work, so Pick gives it only free slots beyond the reserve of servers that are warm, name no limit and are neither ejected nor avoided, and prefers another data centre among equal servers. Criteria of other requests choose as before; the scripts of placement pass.

--- a/placement/eligibility.go
+++ b/placement/eligibility.go
@@ -26,9 +26,10 @@
 	HoldsTooMuch
 	// Refusing is a server that reported a moment ago that it is full.
 	Refusing
-	// Limited is a server of whose named limit this VM has no token.
+	// Limited is a server of whose named limit this VM has no token, or to a hedged request one that names a
+	// limit.
 	Limited
-	// Cold is a cold server of whose bound this VM has no token.
+	// Cold is a cold server of whose bound this VM has no token, or to a hedged request any cold server.
 	Cold
 	// Ejected is a server that gets no requests because of its failures.
 	Ejected
@@ -61,9 +62,9 @@
 		return HoldsTooMuch
 	case now.Before(s.fullUntil):
 		return Refusing
-	case !s.rate.hasToken(now):
+	case !s.rate.hasToken(now), criteria.Hedge && s.rate.limited:
 		return Limited
-	case sel.isCold(now, s) && !sel.mayUseCold(now, s, criteria.Class):
+	case sel.isCold(now, s) && (criteria.Hedge || !sel.mayUseCold(now, s, criteria.Class)):
 		return Cold
 	}
 	return sel.health(now, s, criteria)
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -18,6 +18,12 @@
 	Spare float64
 	// Avoid holds the ids of servers that failed or rejected this request before.
 	Avoid map[string]bool
+	// Hedge marks the second run of a request. It gets only free slots of servers that are warm, name no
+	// limit and are neither ejected nor avoided, since the request can do without it.
+	Hedge bool
+	// OtherDataCentre is a data centre whose servers come after others that are as near and as loaded;
+	// empty for none.
+	OtherDataCentre string
 	// Hash breaks ties differently for each request.
 	Hash uint64
 	// FirstEventWithin and PauseWithin are the objectives for the time to the first event and for
@@ -31,7 +37,9 @@
 	tier tier
 	// weight is the load per slot, times the slowness where servers differ.
 	weight float64
-	tie    uint64
+	// sameDataCentre is set for servers in Criteria.OtherDataCentre.
+	sameDataCentre bool
+	tie            uint64
 }
 
 // tier is a class of candidate servers.
@@ -60,6 +68,9 @@
 	if r.weight != other.weight {
 		return r.weight < other.weight
 	}
+	if r.sameDataCentre != other.sameDataCentre {
+		return other.sameDataCentre
+	}
 	return r.tie < other.tie
 }
 
@@ -82,7 +93,7 @@
 		if best != nil {
 			return best.record, true
 		}
-		if sel.anyHealthy(now, criteria) {
+		if criteria.Hedge || sel.anyHealthy(now, criteria) {
 			return bergamotgrade.ServerRecord{}, false
 		}
 	}
@@ -114,7 +125,7 @@
 			return r, false
 		}
 	case s.free() > s.spare(criteria):
-	case s.load(Online)+s.spare(criteria) < s.record.Slots:
+	case s.load(Online)+s.spare(criteria) < s.record.Slots && !criteria.Hedge:
 		r.tier = tierHomePreempt
 		load = s.load(Online)
 	default:
@@ -134,6 +145,7 @@
 		load -= load % loadStep
 	}
 	r.weight = float64(load) / float64(s.record.Slots)
+	r.sameDataCentre = criteria.OtherDataCentre != "" && s.record.DataCentre == criteria.OtherDataCentre
 	if criteria.Class == Online && sel.uneven[s.record.Service] {
 		sel.rankBySpeed(s, criteria, &r, load)
 	}
--- a/placement/selector_test.go
+++ b/placement/selector_test.go
@@ -231,6 +231,10 @@
 		if id, ok := strings.CutPrefix(option, "avoid="); ok {
 			criteria.Avoid[id] = true
 		}
+		if first, ok := strings.CutPrefix(option, "hedge="); ok { // hedge=ID: the second run of a request that runs at ID
+			criteria.Hedge, criteria.Spare, criteria.Avoid[first] = true, 0.25, true
+			criteria.OtherDataCentre = s.selector.servers[first].record.DataCentre
+		}
 		if objective, ok := strings.CutPrefix(option, "first="); ok {
 			criteria.FirstEventWithin, _ = time.ParseDuration(objective)
 		}
