relay: hedge late repeatable requests

A second run starts when the first one has not begun after the learned delay; the first usable response wins, of a stream with its first event, and the other connection is closed at once, after 250 ms at the latest. Both runs count as attempts. Streams stay at the software version of the first run, so that the record of their origin holds for both. Without EnableHedging, attempts take the same path as before.

--- a/relay/constants.go
+++ b/relay/constants.go
@@ -69,4 +69,11 @@
 	// maxWaitedFraction is the part, as a divisor, of a run's time that may be spent waiting for the
 	// caller if the run is to tell of its server's speed.
 	maxWaitedFraction = 10
+	// hedgeReserve is the fraction of the slots of a server that a hedged request leaves free beside its own:
+	// other VMs choose on status that is up to 0.1 s old.
+	hedgeReserve = 0.25
+	// maxOverlap bounds the time for which two servers run the same request.
+	maxOverlap = 250 * time.Millisecond
+	// maxHedgeLogs bounds the log lines of a second about hedged requests.
+	maxHedgeLogs = 20
 )
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -21,6 +21,8 @@
 	origins   bergamotgrade.StreamOrigins
 	log       *slog.Logger
 	observer  Observer
+	// hedging is nil if no requests are hedged.
+	hedging *hedging
 }
 
 // Observer records the metrics of the relay.
@@ -79,6 +81,8 @@
 	serverID string
 	// timer measures the current attempt.
 	timer *RunTimer
+	// hedged is set once a second server was tried while another one ran the request.
+	hedged bool
 }
 
 // Serve proxies the request and writes the response to out. It returns a
@@ -172,6 +176,12 @@
 		// Leaves time for another server if this server never begins its response.
 		attempt.ResponseHeaderTimeout = time.Duration(responseHeaderShare * float64(req.Deadline.Sub(sentAt)))
 	}
+	if run.relay.hedging != nil {
+		l := run.exchange(ctx, slot, attempt)
+		defer l.cancel()
+		run.relay.observer.Observe("answer_head", l.headAt.Sub(l.sentAt))
+		return run.handle(ctx, l.slot, l.answer, l.err)
+	}
 	answer, err := run.relay.exchanger.Exchange(ctx, server, attempt)
 	run.relay.observer.Observe("answer_head", run.relay.clock.Now().Sub(sentAt))
 	return run.handle(ctx, slot, answer, err)
