--- a/entry/command.go
+++ b/entry/command.go
@@ -7,9 +7,13 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/bergamotgrade/bergamotgrade/hedge"
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
+// HedgeShareVariable is the environment variable for the flag --hedge-share.
+const HedgeShareVariable = "BERGAMOTGRADE_HEDGE_SHARE"
+
 // NewCommand returns the root command of bergamot-vm; hangups is the channel of Hangups.
 func NewCommand(hangups chan os.Signal) *cobra.Command {
 	root := &cobra.Command{
@@ -19,14 +23,15 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newRoleCommand(hangups, "entry", "Serve requests from callers"),
-		newRoleCommand(hangups, "disk", "Run batch items on a disk VM"),
+		newRoleCommand(hangups, "entry", "Serve requests from callers", true),
+		newRoleCommand(hangups, "disk", "Run batch items on a disk VM", false),
 	)
 	return root
 }
 
-func newRoleCommand(hangups chan os.Signal, name, short string) *cobra.Command {
-	var metricsPort int
+func newRoleCommand(hangups chan os.Signal, name, short string, takesCallers bool) *cobra.Command {
+	var options Options
+	var hedgeShare string
 	command := &cobra.Command{
 		Use:   name,
 		Short: short,
@@ -34,16 +39,35 @@
 			"SIGTERM stops the VM after it has completed the requests in flight within the stop grace\nperiod. SIGHUP reads the settings file again; a change takes effect at the next start.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			if err := Main(command.Context(), hangups, metricsPort); err != nil {
+			var err error
+			if options.HedgeShare, err = hedge.ParseShare(hedgeShare); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if err := Main(command.Context(), hangups, options); err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
 			return nil
 		},
 	}
-	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page; 0 disables it")
+	command.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port of the metrics page; 0 disables it")
+	hedgeShare = "0"
+	if takesCallers {
+		addHedgeShare(command, &hedgeShare)
+	}
 	return command
 }
 
+// addHedgeShare adds the flag with the share of hedged requests. The environment variable holds unless the flag
+// is set.
+func addHedgeShare(command *cobra.Command, share *string) {
+	command.Flags().StringVar(share, "hedge-share", "0", "share of the requests that may run at a second server when the first one is late,\nfrom 0 (off) to 0.2; default from "+HedgeShareVariable)
+	command.PreRun = func(command *cobra.Command, _ []string) {
+		if value := os.Getenv(HedgeShareVariable); value != "" && !command.Flags().Changed("hedge-share") {
+			*share = value
+		}
+	}
+}
+
 // Execute runs the root command with the arguments of the process; hangups is the channel
 // of Hangups.
 func Execute(ctx context.Context, hangups chan os.Signal) error {
--- a/entry/fleet_test.go
+++ b/entry/fleet_test.go
@@ -143,7 +143,7 @@
 
 // startVM starts a VM with the settings.
 func (f *testFleet) startVM(settings bergamotgrade.NodeSettings) *testNode {
-	node, err := New(settings, 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	node, err := New(settings, Options{}, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	qt.Assert(f.t, err, qt.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
 	running := &testNode{Node: node, stopped: make(chan struct{}), stop: sync.OnceFunc(cancel)}
--- a/entry/main.go
+++ b/entry/main.go
@@ -25,8 +25,8 @@
 }
 
 // Main runs one VM with the platform's settings file until SIGTERM or SIGINT. hangups is
-// the channel of Hangups, metricsPort the port of the metrics page; 0 serves none.
-func Main(ctx context.Context, hangups chan os.Signal, metricsPort int) error {
+// the channel of Hangups.
+func Main(ctx context.Context, hangups chan os.Signal, options Options) error {
 	path := platform.SettingsPath()
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
@@ -42,7 +42,7 @@
 	logging.Go(func() { writer.run(logCtx) })
 	defer logging.Wait()
 	defer stopLog()
-	node, err := New(settings, metricsPort, log)
+	node, err := New(settings, options, log)
 	if err != nil {
 		return err
 	}
--- a/entry/node.go
+++ b/entry/node.go
@@ -30,7 +30,7 @@
 // Node is one VM.
 type Node struct {
 	settings    bergamotgrade.NodeSettings
-	metricsPort int
+	options     Options
 	clock       bergamotgrade.Clock
 	incarnation int64
 	log         *slog.Logger
@@ -71,11 +71,10 @@
 	invalidServers map[string]int64
 }
 
-// New returns a VM with the settings; Run serves it. metricsPort is the port of the
-// metrics page; 0 serves none.
-func New(settings bergamotgrade.NodeSettings, metricsPort int, log *slog.Logger) (*Node, error) {
+// New returns a VM with the settings; Run serves it.
+func New(settings bergamotgrade.NodeSettings, options Options, log *slog.Logger) (*Node, error) {
 	n := &Node{
-		settings: settings, metricsPort: metricsPort, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
+		settings: settings, options: options, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
 		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, scarce: map[string]bool{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	takesCallers := settings.CallerAddress != ""
@@ -112,7 +111,11 @@
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics), service, n.metrics, log)
+	proxy := relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics)
+	if err := proxy.EnableHedging(options.HedgeShare, n.metrics); err != nil {
+		return nil, err
+	}
+	n.callerHandler = platform.NewCallerHandler(n.view, proxy, service, n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -396,8 +399,8 @@
 			addresses[name] = address
 		}
 	}
-	if n.metricsPort > 0 {
-		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.metricsPort))
+	if n.options.MetricsPort > 0 {
+		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
 	}
 	listeners := make(map[string]net.Listener, len(addresses))
 	for name, address := range addresses {
@@ -419,7 +422,7 @@
 	if n.settings.ReadyAddress != "" {
 		servers["ready"] = platform.NewServer(platform.NewReadyHandler(n.ready))
 	}
-	if n.metricsPort > 0 {
+	if n.options.MetricsPort > 0 {
 		servers["metrics"] = platform.NewServer(n.metrics)
 	}
 	return servers
@@ -508,6 +511,7 @@
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
 			n.backend.Prune(now, n.serverRecords())
+			n.metrics.pruneServers(n.serverRecords())
 		}
 	}
 }
--- /dev/null
+++ b/entry/options.go
@@ -0,0 +1,9 @@
+package entry
+
+// Options are the settings of a VM that its command line names.
+type Options struct {
+	// MetricsPort is the port of the metrics page; 0 serves none.
+	MetricsPort int
+	// HedgeShare is the share of the requests that may be hedged; 0 hedges none.
+	HedgeShare float64
+}
