relay: late first runs always count for the delay; stricter tests of the race

A first run that had ended between its cancellation and the observation was not recorded, seen as a flaky TestLateRunsAreLearned. Whether it lost is now decided when it is cancelled.

--- a/hedge/hedge_test.go
+++ b/hedge/hedge_test.go
@@ -60,8 +60,16 @@
 	}
 }
 
-// Guards against more hedged requests, or more extra work, than the share allows: all responses are late.
+// Guards against more hedged requests, or more extra work, than the share allows: the responses of all requests,
+// or of the large ones only, are late.
 func TestBudgetKeepsShare(t *testing.T) {
+	testBudget(t, 0)
+	testBudget(t, 20_000)
+}
+
+// testBudget hedges the requests from the cost on.
+func testBudget(t *testing.T, lateFrom float64) {
+	t.Helper()
 	for _, share := range []float64{0, 0.02, 0.1, MaxShare} {
 		budget := NewBudget(share)
 		taken, requests, extra, work := 0, 0, 0.0, 0.0
@@ -73,7 +81,7 @@
 			budget.Add(cost)
 			requests++
 			work += cost
-			if budget.Take(cost) {
+			if cost >= lateFrom && budget.Take(cost) {
 				taken++
 				extra += cost
 			}
--- a/relay/hedging_test.go
+++ b/relay/hedging_test.go
@@ -221,17 +221,17 @@
 	}
 }
 
-// Guards against two runs that overlap for more than maxOverlap, and against a first run that is not the one
+// Guards against two runs that overlap for more than 250 ms (150 ms more for a busy machine), and against a first run that is not the one
 // closed.
 func TestOverlapIsBounded(t *testing.T) {
-	f := newRaceFixture(raceStep{headAfter: never}, raceStep{headAfter: 2 * maxOverlap, status: 200, body: "two"})
+	f := newRaceFixture(raceStep{headAfter: never}, raceStep{headAfter: 500 * time.Millisecond, status: 200, body: "two"})
 	var out recorder
 	qt.Assert(t, f.relay.Serve(context.Background(), newHedgedRequest(false, 2), &out), qt.IsNil)
 	qt.Assert(t, out.body.String(), qt.Equals, "two")
 	f.exchanger.mu.Lock()
 	defer f.exchanger.mu.Unlock()
 	overlap := f.exchanger.closedAt[f.exchanger.servers[0]].Sub(f.exchanger.sentAt[1])
-	qt.Assert(t, overlap > maxOverlap/2 && overlap < maxOverlap+150*time.Millisecond, qt.IsTrue, qt.Commentf("overlap %s", overlap))
+	qt.Assert(t, overlap > 200*time.Millisecond && overlap < 400*time.Millisecond, qt.IsTrue, qt.Commentf("overlap %s", overlap))
 }
 
 // Guards against a loser that goes on running after the winner has begun.
@@ -262,27 +262,41 @@
 func TestBothRunsEndWithTheRequest(t *testing.T) {
 	for _, byDeadline := range []bool{false, true} {
 		f := newRaceFixture(raceStep{headAfter: never})
-		ctx, cancel := context.WithCancel(context.Background())
-		req := newHedgedRequest(false, 3)
-		if byDeadline {
-			req.Deadline = time.Now().Add(100 * time.Millisecond)
-		} else {
-			time.AfterFunc(100*time.Millisecond, cancel)
+		// Four requests: two failures in a row would eject a server.
+		for range 3 {
+			f.serveUntilEnd(byDeadline)
 		}
-		err := f.relay.Serve(ctx, req, &recorder{})
+		err := f.serveUntilEnd(byDeadline)
 		qt.Assert(t, err, qt.IsNotNil)
 		qt.Assert(t, bergamotgrade.AsError(err).Kind() == bergamotgrade.KindDeadlineExceeded, qt.Equals, byDeadline)
 		qt.Assert(t, bergamotgrade.AsError(err).NotRun(), qt.IsFalse)
 		qt.Assert(t, f.running(0), qt.Equals, 0)
 		qt.Assert(t, f.scheduler.Suspects(), qt.HasLen, 0)
 		f.exchanger.mu.Lock()
-		qt.Assert(t, f.exchanger.servers, qt.HasLen, 2)
-		qt.Assert(t, f.exchanger.closedAt, qt.HasLen, 2)
+		qt.Assert(t, f.exchanger.servers, qt.HasLen, 8)
 		f.exchanger.mu.Unlock()
-		cancel()
 	}
 }
 
+// serveUntilEnd serves a hedged request whose deadline passes, or whose caller leaves, after 100 ms, and waits
+// for the end of its runs.
+func (f *raceFixture) serveUntilEnd(byDeadline bool) error {
+	for range 10 {
+		f.relay.hedging.budget.Add(100)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	req := newHedgedRequest(false, 3)
+	if byDeadline {
+		req.Deadline = time.Now().Add(100 * time.Millisecond)
+	} else {
+		time.AfterFunc(100*time.Millisecond, cancel)
+	}
+	err := f.relay.Serve(ctx, req, &recorder{})
+	f.running(0)
+	return err
+}
+
 // TestNotHedged guards against a second run where one is not allowed.
 func TestNotHedged(t *testing.T) {
 	for name, prepare := range map[string]func(f *raceFixture, req *Request){
--- a/relay/race.go
+++ b/relay/race.go
@@ -15,7 +15,7 @@
 	run           *requestRun
 	attempt       bergamotgrade.Attempt
 	first, second *leg
-	// firstLost is set once the first run was closed because it overlapped the second one for too long.
+	// firstLost is set once the first run was closed: the second one won, or they overlapped for too long.
 	firstLost bool
 }
 
@@ -144,7 +144,6 @@
 		<-r.first.ended
 		return r.first, r.second
 	}
-	r.firstLost = true
 	r.cancel(r.first)
 	<-r.second.ended
 	return r.second, r.first
@@ -154,6 +153,7 @@
 func (r *race) cancel(loser *leg) {
 	run := r.run
 	run.runs++
+	r.firstLost = r.firstLost || loser == r.first
 	run.avoid[loser.slot.server.ServerID] = true
 	if loser == r.second {
 		run.relay.hedging.observer.CountAt("hedges_cancelled", loser.slot.server.ServerID, 1)
@@ -208,7 +208,7 @@
 	switch {
 	case !r.firstLost && r.first.hasEnded() && r.first.usable:
 		h.observe(req, r.first.begunAt.Sub(r.first.sentAt))
-	case r.second != nil && (r.firstLost || !r.first.hasEnded()):
+	case r.firstLost:
 		h.observe(req, r.run.relay.clock.Now().Sub(r.first.sentAt))
 	}
 }
