--- a/relay/hedging_test.go
+++ b/relay/hedging_test.go
@@ -239,9 +239,12 @@
 	f := newRaceFixture(raceStep{headAfter: never}, raceStep{status: 200, body: formatEvents(1, 1)})
 	out := &pausingRecorder{pause: 200 * time.Millisecond}
 	qt.Assert(t, f.relay.Serve(context.Background(), newHedgedRequest(true, 2), out), qt.IsNil)
+	qt.Assert(t, f.running(0), qt.Equals, 0)
 	f.exchanger.mu.Lock()
 	defer f.exchanger.mu.Unlock()
-	qt.Assert(t, f.exchanger.closedAt[f.exchanger.servers[0]].Before(out.endedAt.Add(-out.pause/2)), qt.IsTrue)
+	closedAt, closed := f.exchanger.closedAt[f.exchanger.servers[0]]
+	qt.Assert(t, closed, qt.IsTrue)
+	qt.Assert(t, closedAt.Before(out.endedAt.Add(-out.pause/2)), qt.IsTrue)
 }
 
 // pausingRecorder takes a while for the first write.
