--- a/entry/command.go
+++ b/entry/command.go
@@ -7,7 +7,7 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/hedge"
 	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
@@ -20,15 +20,15 @@
 		SilenceErrors: true,
 	}
 	root.AddCommand(
-		newRoleCommand(hangups, "entry", "Serve requests from callers"),
-		newRoleCommand(hangups, "disk", "Run batch items on a disk VM"),
+		newRoleCommand(hangups, "entry", "Serve requests from callers", true),
+		newRoleCommand(hangups, "disk", "Run batch items on a disk VM", false),
 	)
 	return root
 }
 
-func newRoleCommand(hangups chan os.Signal, name, short string) *cobra.Command {
-	var metricsPort int
-	var held bergamotgrade.HeldLimits
+func newRoleCommand(hangups chan os.Signal, name, short string, takesCallers bool) *cobra.Command {
+	var options Options
+	var hedgeShare string
 	command := &cobra.Command{
 		Use:   name,
 		Short: short,
@@ -37,17 +37,25 @@
 			"SIGTERM stops the VM after it has completed the requests in flight within the stop grace\nperiod. SIGHUP reads the settings file again; a change takes effect at the next start.",
 		Args: cobra.NoArgs,
 		RunE: func(command *cobra.Command, _ []string) error {
-			if err := checkHeldLimits(held, applyEnvironment(command.Flags())); err != nil {
+			if err := checkHeldLimits(options.Held, applyEnvironment(command.Flags())); err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
-			if err := Main(command.Context(), hangups, metricsPort, held); err != nil {
+			var err error
+			if options.HedgeShare, err = hedge.ParseShare(hedgeShare); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+			if err := Main(command.Context(), hangups, options); err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
 			return nil
 		},
 	}
-	command.Flags().IntVar(&metricsPort, "metrics-port", 0, "port of the metrics page; 0 disables it")
-	registerHeldLimits(command.Flags(), &held)
+	command.Flags().IntVar(&options.MetricsPort, "metrics-port", 0, "port of the metrics page; 0 disables it")
+	registerHeldLimits(command.Flags(), &options.Held)
+	hedgeShare = "0"
+	if takesCallers {
+		command.Flags().StringVar(&hedgeShare, "hedge-share", "0", "`share` of the requests that may run at a second server when the first one is late,\nfrom 0 (off) to 0.2")
+	}
 	return command
 }
 
--- a/entry/listeners.go
+++ b/entry/listeners.go
@@ -19,8 +19,8 @@
 			addresses[name] = address
 		}
 	}
-	if n.metricsPort > 0 {
-		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.metricsPort))
+	if n.options.MetricsPort > 0 {
+		addresses["metrics"] = net.JoinHostPort(n.settings.IP, strconv.Itoa(n.options.MetricsPort))
 	}
 	listeners := make(map[string]net.Listener, len(addresses))
 	for name, address := range addresses {
@@ -42,7 +42,7 @@
 	if n.settings.ReadyAddress != "" {
 		servers["ready"] = platform.NewPageServer(platform.NewReadyHandler(n.ready))
 	}
-	if n.metricsPort > 0 {
+	if n.options.MetricsPort > 0 {
 		servers["metrics"] = platform.NewPageServer(n.metrics)
 	}
 	return servers
--- a/entry/main.go
+++ b/entry/main.go
@@ -25,15 +25,14 @@
 }
 
 // Main runs one VM with the platform's settings file until SIGTERM or SIGINT. hangups is
-// the channel of Hangups, metricsPort the port of the metrics page; 0 serves none. held bounds what the
-// VM holds for its clients.
-func Main(ctx context.Context, hangups chan os.Signal, metricsPort int, held bergamotgrade.HeldLimits) error {
+// the channel of Hangups.
+func Main(ctx context.Context, hangups chan os.Signal, options Options) error {
 	path := platform.SettingsPath()
 	settings, err := platform.ReadSettings(path)
 	if err != nil {
 		return err
 	}
-	settings.Held = held
+	settings.Held = options.Held
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
 	}
@@ -44,7 +43,7 @@
 	logging.Go(func() { writer.run(logCtx) })
 	defer logging.Wait()
 	defer stopLog()
-	node, err := New(settings, metricsPort, log)
+	node, err := New(settings, options, log)
 	if err != nil {
 		return err
 	}
--- a/entry/maintenance.go
+++ b/entry/maintenance.go
@@ -29,6 +29,7 @@
 		if now := n.clock.Now(); now.After(pruneAt) {
 			pruneAt = now.Add(pruneInterval)
 			n.backend.Prune(now, n.serverRecords())
+			n.metrics.pruneServers(n.serverRecords())
 		}
 	}
 }
--- a/entry/node.go
+++ b/entry/node.go
@@ -32,7 +32,7 @@
 // Node is one VM.
 type Node struct {
 	settings    bergamotgrade.NodeSettings
-	metricsPort int
+	options     Options
 	clock       bergamotgrade.Clock
 	incarnation int64
 	log         *slog.Logger
@@ -74,11 +74,10 @@
 	invalidServers map[string]int64
 }
 
-// New returns a VM with the settings; Run serves it. metricsPort is the port of the
-// metrics page; 0 serves none.
-func New(settings bergamotgrade.NodeSettings, metricsPort int, log *slog.Logger) (*Node, error) {
+// New returns a VM with the settings; Run serves it.
+func New(settings bergamotgrade.NodeSettings, options Options, log *slog.Logger) (*Node, error) {
 	n := &Node{
-		settings: settings, metricsPort: metricsPort, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
+		settings: settings, options: options, clock: bergamotgrade.SystemClock{}, incarnation: time.Now().UnixNano(),
 		log: log, metrics: NewMetrics(), invalidServers: map[string]int64{}, scarce: map[string]bool{}, servers: map[string]bergamotgrade.ServerRecord{},
 	}
 	takesCallers := settings.CallerAddress != ""
@@ -118,7 +117,11 @@
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
 	})
-	n.callerHandler = platform.NewCallerHandler(n.view, relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics), service, n.newBodies(), n.metrics, log)
+	proxy := relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics)
+	if err := proxy.EnableHedging(options.HedgeShare, n.metrics); err != nil {
+		return nil, err
+	}
+	n.callerHandler = platform.NewCallerHandler(n.view, proxy, service, n.newBodies(), n.metrics, log)
 	n.mirrors = map[string]*follow.Mirror{}
 	for _, mirror := range []struct {
 		prefix        string
@@ -398,31 +401,6 @@
 	return nil
 }
 
-// shutdown completes the requests in flight within the stop grace period and ends the
-// registration.
-func (n *Node) shutdown(servers map[string]*http.Server) {
-	endAt := time.Now().Add(n.settings.StopGrace - shutdownReserve)
-	n.log.Info("VM stopping; completing requests in flight", "grace", n.settings.StopGrace.String())
-	n.view.setLeaving()
-	n.announce()
-	n.runner.Stop()
-	ctx, cancel := context.WithDeadline(context.Background(), endAt)
-	defer cancel()
-	if server, ok := servers["callers"]; ok {
-		bergamotgrade.Sleep(ctx, drainDelay)
-		if err := server.Shutdown(ctx); err != nil {
-			n.log.Warn("requests still running at the end of the grace period; closing their connections", "cause", err.Error())
-			_ = server.Close()
-		}
-	}
-	for _, server := range servers {
-		_ = server.Close()
-	}
-	endCtx, cancelEnd := context.WithTimeout(context.Background(), shutdownReserve/2)
-	defer cancelEnd()
-	n.membership.deregister(endCtx)
-}
-
 // watchesStore reports whether any mirror receives changes from the store itself.
 func (n *Node) watchesStore() bool {
 	for _, mirror := range n.mirrors {
