Origins: a stream is taken up at the version of its last attempt, also if its record was lost at a VM (ORDER)

Cause: each attempt of a stream sends a record of its version to two VMs; one that misses the record of a later attempt keeps the one before, and a VM that held such a copy took it without asking the others. Change: later attempts send their records to all four VMs that are asked, and a VM that only keeps a copy asks too.

--- a/origin/tracker.go
+++ b/origin/tracker.go
@@ -92,7 +92,7 @@
 	}
 	unsent := t.ownRecords(now, newlyMixed)
 	t.mu.Unlock()
-	t.send(unsent)
+	t.send(unsent, recordCopies)
 }
 
 // ownRecords returns the records of this VM's recent streams of the services. The caller holds
@@ -110,11 +110,11 @@
 	return own
 }
 
-// send sends the records to the VMs that keep them.
-func (t *Tracker) send(records []bergamotgrade.StreamRecord) {
+// send sends the records to so many of the VMs that keep them.
+func (t *Tracker) send(records []bergamotgrade.StreamRecord, copies int) {
 	byVM := map[string][]bergamotgrade.StreamRecord{}
 	for _, record := range records {
-		for _, vmID := range t.fleet.Keepers(record.Key, recordCopies, true) {
+		for _, vmID := range t.fleet.Keepers(record.Key, copies, true) {
 			byVM[vmID] = append(byVM[vmID], record)
 		}
 	}
@@ -132,9 +132,16 @@
 	// A VM that asks can do without the record if the service has had one version for long.
 	_, isOnly := t.versions.only(now, origin.Service)
 	t.mu.Unlock()
-	if !isOnly {
-		t.send([]bergamotgrade.StreamRecord{record})
+	if isOnly {
+		return
 	}
+	copies := recordCopies
+	if attempt > 0 {
+		// A VM that misses this record keeps that of the attempt before, which may name another version; all VMs that
+		// are asked get it, as datagrams are lost now and then.
+		copies = maxAsked
+	}
+	t.send([]bergamotgrade.StreamRecord{record}, copies)
 }
 
 // Receive adds records that another VM has sent.
@@ -162,6 +169,14 @@
 	return answer
 }
 
+// beganHere reports whether this VM began the stream itself, so that its record is the last one.
+func (t *Tracker) beganHere(key uint64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	record, ok := t.records.get(t.clock.Now(), key)
+	return ok && record.own
+}
+
 // Find implements bergamotgrade.StreamOrigins.
 func (t *Tracker) Find(ctx context.Context, requestID string, services []string) (bergamotgrade.StreamOrigin, error) {
 	question := Question{Key: keyOf(requestID)}
@@ -185,19 +200,22 @@
 // find returns the origin and who knows it, or why it is not known.
 func (t *Tracker) find(ctx context.Context, question Question) (origin bergamotgrade.StreamOrigin, ok bool, cause string) {
 	own := t.Answer(question)
-	if own.Found {
+	if own.Found && t.beganHere(question.Key) {
 		return own.Record.Origin, true, "this VM"
 	}
 	asked := t.fleet.Keepers(question.Key, maxAsked, false)
 	answers := t.ask(ctx, asked, question)
 	best := Answer{}
+	if own.Found {
+		best = own // a copy, of which another VM may have a later one
+	}
 	for _, answer := range answers {
 		if answer.Found && (!best.Found || answer.Record.Attempt > best.Record.Attempt) {
 			best = answer
 		}
 	}
 	if best.Found {
-		return best.Record.Origin, true, "another VM"
+		return best.Record.Origin, true, "a VM that keeps its record"
 	}
 	// Without a record the stream began while its service had one version, if it is known to
 	// be the only one for long. A VM that no other answers may have missed a second one.
