--- a/entry/hedge_test.go
+++ b/entry/hedge_test.go
@@ -10,12 +10,13 @@
 	qt "github.com/frankban/quicktest"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/platform"
 )
 
 // Guards against a share of hedged requests that is not checked, or a flag that does not come before the
 // environment variable. The command ends before it reads the settings file if the share is not valid.
 func TestHedgeShareIsChecked(t *testing.T) {
-	t.Setenv("BERGAMOTGRADE_BOOT", t.TempDir()+"/missing.toml")
+	t.Setenv(platform.SettingsVariable, t.TempDir()+"/missing.toml")
 	for _, test := range []struct {
 		role, variable, flag string
 		valid                bool
