--- a/follow/mirror_test.go
+++ b/follow/mirror_test.go
@@ -543,8 +543,8 @@
 	}
 	kv := NewMonitoredStore(standin.NewStore(bergamotgrade.SystemClock{}), bergamotgrade.SystemClock{}, func(bergamotgrade.Homes) bergamotgrade.KeyValue { return nil }, slog.New(slog.NewTextHandler(io.Discard, nil)))
 	m := NewMirror(kv, bergamotgrade.SystemClock{}, "op/", StartAtOnce, 0, ShortWatchWait, &testPeers{}, onChange, slog.New(slog.NewTextHandler(io.Discard, nil)))
-	one := bergamotgrade.Entry{Key: "op/config", Revision: 1}
-	two := bergamotgrade.Entry{Key: "op/evacuate/dc1", Revision: 2}
+	one := bergamotgrade.Entry{Key: "op/a", Revision: 1}
+	two := bergamotgrade.Entry{Key: "op/b", Revision: 2}
 	var publishing sync.WaitGroup
 	publishing.Go(func() {
 		m.applyCopy(Copy{Revision: 1, Keys: []string{one.Key}, Entries: []bergamotgrade.Entry{one}}, m.dropEntry)
--- a/hostile/crowd_test.go
+++ b/hostile/crowd_test.go
@@ -13,6 +13,8 @@
 	"sync"
 	"testing"
 	"time"
+
+	"github.com/bergamotgrade/bergamotgrade/platform/standin"
 )
 
 const (
@@ -62,7 +64,7 @@
 
 // head returns the head of a request up to its last header.
 func (to target) head(number int) string {
-	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nBergamotgrade-Attempt-Id: hostile%d\r\nBergamotgrade-Token-Usage: 10,5\r\nContent-Type: application/json\r\n",
+	return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+standin.AttemptIDHeader+": hostile%d\r\n"+standin.TokenUsageHeader+": 10,5\r\nContent-Type: application/json\r\n",
 		to.method, to.path, key, number)
 }
 
--- a/hostile/hostile_test.go
+++ b/hostile/hostile_test.go
@@ -41,7 +41,7 @@
 	stream := target{http.MethodPost, standin.ResumePath + "x"}
 	once := target{http.MethodPost, standin.UnsafePath + "x"}
 	job := target{http.MethodPost, standin.JobsPath + "x"}
-	ready := target{http.MethodGet, "/api/readiness"}
+	ready := target{http.MethodGet, standin.ReadyPath}
 	runCrowds(t, startVM, []crowdCase{
 		{"body_one_byte_short", "callers", connections, shortBody(stream, bodyBytes, 1)},
 		{"body_in_pieces", "callers", connections, bodyInPieces(once, bodyBytes)},
@@ -69,7 +69,7 @@
 		p := startVM(t)
 		// The stand-in repeats the long id in each of 4000 events, 40 MB in all.
 		crowd(t, p.addresses["callers"], connections, unread(func(number int) string {
-			return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nBergamotgrade-Attempt-Id: %s%d\r\nBergamotgrade-Token-Usage: 10,4000\r\nContent-Length: 0\r\n\r\n",
+			return fmt.Sprintf("POST %sx HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+standin.AttemptIDHeader+": %s%d\r\n"+standin.TokenUsageHeader+": 10,4000\r\nContent-Length: 0\r\n\r\n",
 				standin.ResumePath, key, content[1:10000], number)
 		}))
 		p.check()
@@ -79,7 +79,7 @@
 		caller := standin.Caller{Address: p.addresses["callers"], Key: key, Client: newClient()}
 		crowd(t, p.addresses["callers"], 1, func(conn net.Conn, number int) error {
 			body := jobOfSize(600 << 10)
-			_, err := fmt.Fprintf(conn, "POST %sj HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\nBergamotgrade-Attempt-Id: j\r\nContent-Length: %d\r\n\r\n%s", standin.JobsPath, key, len(body), body)
+			_, err := fmt.Fprintf(conn, "POST %sj HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n"+standin.AttemptIDHeader+": j\r\nContent-Length: %d\r\n\r\n%s", standin.JobsPath, key, len(body), body)
 			return err
 		})
 		p.retry("the job is accepted", func(string) error {
@@ -90,7 +90,7 @@
 			return err
 		})
 		crowd(t, p.addresses["callers"], 400, unread(func(int) string {
-			return fmt.Sprintf("GET /api/items/j?identifier=big HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", key)
+			return fmt.Sprintf("GET "+standin.ItemsPath+"j?identifier=big HTTP/1.1\r\nHost: h\r\nAuthorization: Bearer %s\r\n\r\n", key)
 		}))
 		p.check()
 	})
--- a/hostile/process_test.go
+++ b/hostile/process_test.go
@@ -227,7 +227,7 @@
 	p := start(t, []string{platform.SettingsVariable + "=" + path}, "bergamot-vm", "entry", "--metrics-port", strconv.Itoa(metricsPort))
 	p.memoryMB = memoryMB
 	p.addresses["callers"] = settings.CallerAddress()
-	p.addresses["ready"] = strings.TrimSuffix(strings.TrimPrefix(settings.ReadyURL(), "http://"), "/api/readiness")
+	p.addresses["ready"] = strings.TrimSuffix(strings.TrimPrefix(settings.ReadyURL(), "http://"), standin.ReadyPath)
 	p.addresses["metrics"] = fmt.Sprintf("%s:%d", settings.IP, metricsPort)
 	p.addresses["inner"] = fmt.Sprintf("%s:%d", settings.IP, innerPort)
 	p.ask = func(id string) error {
