--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -58,6 +58,8 @@
 	// Slots and EventTime are those of each replica.
 	Slots     int
 	EventTime time.Duration
+	// Pauses are those of each replica; zero for replicas without.
+	Pauses Pauses
 	// Configuration is the value of op/config; nil selects NewConfiguration(1).
 	Configuration any
 }
@@ -117,7 +119,11 @@
 	}
 	for i := range options.Replicas {
 		replica := newReplica(fmt.Sprintf("i-%04d", i+1), zones[i%len(zones)], options.Slots, options.EventTime, f.Record)
-		address, err := f.serve("127.0.0.1:0", replica)
+		var handler http.Handler = replica
+		if options.Pauses.Every > 0 {
+			handler = &PausingReplica{id: replica.ID, eventTime: options.EventTime, pauses: options.Pauses, record: f.Record}
+		}
+		address, err := f.serve("127.0.0.1:0", handler)
 		if err != nil {
 			return f, err
 		}
