--- a/review/stage/client.go
+++ b/review/stage/client.go
@@ -22,10 +22,7 @@
 	return map[string]any{
 		"version": version,
 		"routes": []map[string]any{
-			{
-				"name": "r-stream", "host": Host, "prefix": StreamPath, "kind": "stream", "timeoutMs": 5000, "targetLatencyMs": 300, "priority": 0,
-				"service": Service, "attempts": 2, "allowAnonymous": false, "stickySessions": true, "allowResume": true, "gapTargetMs": 500,
-			},
+			StreamRoute("r-stream", StreamPath),
 			BatchRoute("r-batch", BatchPath),
 		},
 		"services": []map[string]any{{"name": Service, "healthPath": "/health", "connectionCap": 210}},
@@ -34,6 +31,14 @@
 	}
 }
 
+// StreamRoute returns a route for streams that may be resumed, with the values of kpwsca-sackline.
+func StreamRoute(name, prefix string) map[string]any {
+	return map[string]any{
+		"name": name, "host": Host, "prefix": prefix, "kind": "stream", "timeoutMs": 5000, "targetLatencyMs": 300, "priority": 0,
+		"service": Service, "attempts": 2, "allowAnonymous": false, "stickySessions": true, "allowResume": true, "gapTargetMs": 500,
+	}
+}
+
 // BatchRoute returns a route for batch jobs with the values of kpwsca-sackline.
 func BatchRoute(name, prefix string) map[string]any {
 	return map[string]any{
--- a/review/stage/fleet.go
+++ b/review/stage/fleet.go
@@ -58,6 +58,8 @@
 	// Slots and EventTime are those of each replica.
 	Slots     int
 	EventTime time.Duration
+	// StoreLatency is the time that the store takes for an answer.
+	StoreLatency time.Duration
 	// Pauses are those of each replica; zero for replicas without.
 	Pauses Pauses
 	// Configuration is the value of op/config; nil selects NewConfiguration(1).
@@ -112,7 +114,7 @@
 	if f.temporary, err = os.MkdirTemp("", "review"); err != nil {
 		return f, err
 	}
-	f.Answers = newAnswerLoss(standin.NewStoreServer(f.Store), f.Record)
+	f.Answers = newAnswerLoss(standin.NewStoreServer(f.Store), options.StoreLatency, f.Record)
 	storeAddress, err := f.serve("127.0.0.1:0", f.Answers)
 	if err != nil {
 		return f, err
--- a/review/stage/store.go
+++ b/review/stage/store.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"time"
 )
 
 // AnswerLoss is the platform's store, whose answers may be lost: a call is done, its caller gets no
@@ -13,6 +14,9 @@
 	inner  http.Handler
 	record *Record
 
+	// latency is the time that the store takes for an answer.
+	latency time.Duration
+
 	mu sync.Mutex
 	// isLost selects the answers that are lost; nil selects none.
 	isLost func(call Call) bool
@@ -28,8 +32,8 @@
 	HasEvents bool
 }
 
-func newAnswerLoss(inner http.Handler, record *Record) *AnswerLoss {
-	return &AnswerLoss{inner: inner, record: record, waiting: map[string]int{}}
+func newAnswerLoss(inner http.Handler, latency time.Duration, record *Record) *AnswerLoss {
+	return &AnswerLoss{inner: inner, latency: latency, record: record, waiting: map[string]int{}}
 }
 
 // Lose selects the answers that are lost from now on; nil selects none.
@@ -59,6 +63,7 @@
 	if isWatch {
 		a.count(call.Prefix, 1)
 	}
+	time.Sleep(a.latency)
 	answer := httptest.NewRecorder()
 	a.inner.ServeHTTP(answer, r)
 	if isWatch {
