Review case 6: a store machine that wakes from a freeze abandons accepted batch jobs

Cause: the owner of a job abandons each item for whose job its own configuration has no batch route. Nothing tells whether that configuration is older than the one under which the job was accepted, and the copies of the configuration and of the heads of jobs are followed independently.

The case: a store machine freezes for 3.2 s, the operator adds a batch route, and jobs on it are accepted and given to the frozen machine. It wakes and abandons their items; no replica ever got them.

--- a/review/6/main.go
+++ b/review/6/main.go
@@ -1,5 +1,5 @@
-// Case 6: a few clients send batch jobs whose bodies are as large as the limit allows and hold a list of very
-// many empty items. Front machines take more memory than they have, and are ended for it.
+// Case 6: a store machine freezes for some seconds; meanwhile the operator adds a route for batch jobs, and clients
+// submit jobs on it. The machine wakes, learns of the jobs before it learns of the route, and abandons their items.
 package main
 
 import (
@@ -7,22 +7,28 @@
 	"net/http"
 	"os"
 	"strings"
-	"sync"
+	"syscall"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bergamotgrade/bergamotgrade/review/stage"
 )
 
 const (
-	// bodyBytes is limits.bodyBytes of the configuration.
-	bodyBytes = 4194304
-	// crowd is the number of clients that send such a body to a machine at once.
-	crowd = 4
-	// A tenth of the machines in use, two at least, of which processes end three times, break the rule.
-	machines, ends = 2, 3
-	restartDelay   = time.Second
-	sampleInterval = 2 * time.Millisecond
-	roundTime      = 10 * time.Second
+	// freeze is the longest one of the site for a store machine.
+	freeze = 3200 * time.Millisecond
+	// configureAfter and submitUntil are counted from the begin of the freeze.
+	configureAfter, submitUntil = 100 * time.Millisecond, 1600 * time.Millisecond
+	submitPause                 = 100 * time.Millisecond
+	// settle is how long the clients wait after the machine has woken.
+	settle    = 2500 * time.Millisecond
+	itemCount = 3
+	rounds    = 14
+	// extraRoutes is the number of routes by which the configuration has grown.
+	extraRoutes = 350
+	// storeLatency is that of the sheet.
+	storeLatency = 4 * time.Millisecond
 )
 
 func main() {
@@ -36,94 +42,110 @@
 
 func run() (int, error) {
 	trouble := stage.Trouble(os.Getenv("TROUBLE"))
-	fleet, err := stage.Start(stage.Options{Folder: os.Args[1], Fronts: 3, Stores: 3, Replicas: 3, Slots: 8, EventTime: 5 * time.Millisecond})
+	fleet, err := stage.Start(stage.Options{Folder: os.Args[1], Fronts: 3, Stores: 3, Replicas: 3, Slots: 8, EventTime: 10 * time.Millisecond, StoreLatency: storeLatency})
 	defer fleet.Stop()
 	if err != nil {
 		return 2, err
 	}
 	time.Sleep(4 * time.Second) // the machines are in touch
-	ended := make([]int, machines)
-	peaks := make([]int, machines)
-	var platforms sync.WaitGroup
-	for i, vm := range fleet.Fronts()[:machines] {
-		platforms.Go(func() { ended[i], peaks[i], err = rounds(fleet, vm, trouble) })
+	frozen := first(fleet.Stores())
+	configuration := stage.NewConfiguration(1)
+	routes := configuration["routes"].([]map[string]any)
+	for i := range extraRoutes {
+		routes = append(routes, stage.StreamRoute(fmt.Sprintf("r-extra%03d", i), fmt.Sprintf("/extra%03d/", i)))
+	}
+	configuration["routes"] = routes
+	abandoned, accepted := 0, 0
+	for round := range rounds {
+		jobs, err := playRound(fleet, frozen, configuration, round, trouble)
+		if err != nil {
+			return 2, err
+		}
+		for _, job := range jobs {
+			accepted++
+			results, reply := stage.ReadResults(fleet.Fronts()[1], job, 0)
+			if reply.Status != http.StatusOK {
+				fleet.Record.Add("client: reads batch job %s: %s", job, reply)
+			}
+			for _, result := range results.Results {
+				if result.State == "abandoned" {
+					abandoned++
+					fleet.Record.Add("BROKEN: item %s of batch job %s is abandoned; it reached replicas %d times, and its route is there", result.Identifier, job, arrivals(fleet, result.Identifier))
+				}
+			}
+			fleet.Record.Add("client: reads batch job %s: %d of %d results", job, len(results.Results), results.Total)
+		}
 	}
-	platforms.Wait()
-	broken := true
-	for i, count := range ended {
-		fleet.Record.Add("%s: ended %d times, peak of the resident memory %d MiB of %d", fleet.Fronts()[i].Name, count, peaks[i], fleet.Fronts()[i].MemoryMB())
-		broken = broken && count >= ends
+	for _, line := range fleet.LogLines("item abandoned") {
+		fleet.Record.Add("log of %s", line)
 	}
-	fmt.Printf("trouble=%t ended=%v peaks=%v MiB of %d\n", trouble, ended, peaks, fleet.Fronts()[0].MemoryMB())
-	if broken {
-		fleet.Record.Add("BROKEN: processes of %d machines have ended %d times each by their memory", machines, ends)
+	fmt.Printf("trouble=%t accepted jobs=%d abandoned items=%d\n", trouble, accepted, abandoned)
+	if abandoned > 0 {
 		return 1, nil
 	}
 	return 0, nil
 }
 
-// rounds sends a crowd's bodies to the machine, as often as its process has to end. Meanwhile it does what the
-// platform does: it ends a process with more memory than its machine has, and starts it again.
-func rounds(fleet *stage.Fleet, vm *stage.VM, trouble bool) (ended, peak int, err error) {
-	for round := range ends {
-		killed := make(chan bool, 1)
-		stop := make(chan struct{})
-		go func() { killed <- watchMemory(vm, stop, &peak) }()
-		var clients sync.WaitGroup
-		for client := range crowd {
-			clients.Go(func() {
-				id := fmt.Sprintf("%s-%d-%d", vm.Name, round, client)
-				reply := stage.Send(vm, http.MethodPost, stage.BatchPath+id, id, map[string]string{"Content-Type": "application/json"}, body(id, trouble))
-				fleet.Record.Add("client: submits batch job %s with a body of %d bytes at %s: %s", id, bodyBytes, vm.Name, reply)
-			})
-		}
-		clients.Wait()
-		time.Sleep(500 * time.Millisecond)
-		close(stop)
-		if <-killed {
-			ended++
-			fleet.Record.Add("platform: ends %s, which has more than %d MiB of memory", vm.Name, vm.MemoryMB())
-			time.Sleep(restartDelay)
-			if err := vm.Start(); err != nil {
-				return ended, peak, err
-			}
+func arrivals(fleet *stage.Fleet, item string) int {
+	count := 0
+	for _, arrival := range fleet.Arrivals() {
+		if arrival.RequestID == item {
+			count++
 		}
-		http := &http.Client{Timeout: time.Second}
-		for deadline := time.Now().Add(roundTime); !vm.IsReady(http) && time.Now().Before(deadline); {
-			time.Sleep(50 * time.Millisecond)
-		}
-		reply := stage.Send(vm, "POST", stage.StreamPath+"x", fmt.Sprintf("%s-%d", vm.Name, round), map[string]string{
-			"Bergamotgrade-Token-Usage": "450,5", "Bergamotgrade-Deadline-Remaining": "5000",
-		}, "")
-		fleet.Record.Add("client: ordinary request at %s: %d, %d bytes, error %v", vm.Name, reply.Status, len(reply.Body), reply.Err)
 	}
-	return ended, peak, nil
+	return count
 }
 
-// watchMemory ends the process once it has more memory than its machine, and reports whether it did.
-func watchMemory(vm *stage.VM, stop <-chan struct{}, peak *int) bool {
-	for {
-		select {
-		case <-stop:
-			return false
-		case <-time.After(sampleInterval):
-		}
-		resident := vm.ResidentMB()
-		*peak = max(*peak, resident)
-		if resident > vm.MemoryMB() {
-			vm.Kill()
-			return true
+// first returns the machine that the others choose to watch the store for them.
+func first(stores []*stage.VM) *stage.VM {
+	chosen := stores[0]
+	for _, vm := range stores {
+		if xxhash.Sum64String(vm.Name) < xxhash.Sum64String(chosen.Name) {
+			chosen = vm
 		}
 	}
+	return chosen
 }
 
-// body returns the body of a batch job, as large as the limit allows: with empty items, or without trouble with
-// one item that has a large body.
-func body(id string, trouble bool) string {
-	if !trouble {
-		frame := `{"items":[{"identifier":"` + id + `-1","path":"` + stage.BatchPath + `3/1","headers":{"Bergamotgrade-Token-Usage":"350,5"},"tokens":355,"body":"%s"}]}`
-		return fmt.Sprintf(frame, strings.Repeat("AAAA", (bodyBytes-len(frame))/4))
+// playRound adds a route while the machine is frozen and returns the jobs that were accepted on it.
+func playRound(fleet *stage.Fleet, frozen *stage.VM, configuration map[string]any, round int, trouble bool) ([]string, error) {
+	submit := func(prefix, job string) stage.Reply {
+		var items []stage.Item
+		for i := range itemCount {
+			items = append(items, stage.Item{ID: fmt.Sprintf("%s-%d", job, i), Events: 20})
+		}
+		reply := stage.Send(fleet.Fronts()[0], http.MethodPost, prefix+job, job, map[string]string{"Content-Type": "application/json"}, stage.JobBody(prefix, items))
+		fleet.Record.Add("client: submits batch job %s: %s", job, reply)
+		return reply
+	}
+	submit(stage.BatchPath, fmt.Sprintf("before%02d", round))
+	time.Sleep(400 * time.Millisecond)
+	if trouble {
+		fleet.Record.Add("platform: %s freezes", frozen.Name)
+		frozen.Signal(syscall.SIGSTOP)
+	}
+	frozenAt := time.Now()
+	time.Sleep(configureAfter)
+	prefix := fmt.Sprintf("/kefi%03d/", round)
+	configuration["version"] = configuration["version"].(int) + 3
+	configuration["routes"] = append(configuration["routes"].([]map[string]any), stage.BatchRoute("r-"+strings.Trim(prefix, "/"), prefix))
+	if err := fleet.Configure(configuration); err != nil {
+		return nil, err
+	}
+	fleet.Record.Add("operator: version %d adds the route %s", configuration["version"], prefix)
+	var accepted []string
+	for n := 0; time.Since(frozenAt) < submitUntil; n++ {
+		job := fmt.Sprintf("job%02d-%02d", round, n)
+		if submit(prefix, job).Status == http.StatusAccepted {
+			accepted = append(accepted, job)
+		}
+		time.Sleep(submitPause)
+	}
+	time.Sleep(time.Until(frozenAt.Add(freeze)))
+	if trouble {
+		frozen.Signal(syscall.SIGCONT)
+		fleet.Record.Add("platform: %s goes on", frozen.Name)
 	}
-	list := `{"items":[{}` + strings.Repeat(",{}", (bodyBytes-len(`{"items":[{}]}`))/len(",{}")) + "]}"
-	return list + strings.Repeat(" ", bodyBytes-len(list))
+	time.Sleep(settle)
+	return accepted, nil
 }
