Jobs: items wait for the configuration under which their job was accepted

Cause: a VM follows the operator's entries and the heads of jobs independently. One that wakes from a freeze, or is cut off from its peers, may own a job before it knows the job's route, and took the missing route for a removed one. By the same cause it would run the items at the service of an older configuration.

Change: a job's head holds the version of the configuration under which it was accepted. The owner neither abandons nor starts items while the configuration in force is older; the homes are then those of the acceptance. A new configuration wakes the runner. This works because versions only rise, and the accepting VM had the route in the version that it names.

--- a/entry/operator_entries.go
+++ b/entry/operator_entries.go
@@ -16,6 +16,7 @@
 		n.view.setConfiguration(entry)
 		n.setServices()
 		n.announce()
+		n.runner.Wake() // items may wait for this configuration
 	}
 	if _, ok := entries[platform.RetirementKey(n.settings.VMID)]; ok {
 		n.retire()
--- a/jobs/homes.go
+++ b/jobs/homes.go
@@ -7,10 +7,11 @@
 )
 
 // HomesIn returns the regions in which the job's items may run, and whose VMs may own it: those at its
-// acceptance that its route and team still have in the configuration, which may be nil.
+// acceptance that its route and team still have in the configuration. One that is older than the job, or
+// nil, says nothing of it.
 func (h Head) HomesIn(config *bergamotgrade.FleetConfiguration) bergamotgrade.Homes {
 	homes := h.Homes
-	if config == nil {
+	if config == nil || h.isNewerThan(config) {
 		return homes
 	}
 	if route := config.Route(h.Host, h.Path); route != nil {
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -130,6 +130,13 @@
 	return answer, nil
 }
 
+// attempts returns the number of attempts at all items.
+func (e *engine) attempts() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.totalRuns()
+}
+
 // totalRuns returns the number of attempts; the caller holds the lock.
 func (e *engine) totalRuns() int {
 	total := 0
@@ -186,6 +193,8 @@
 	config  *bergamotgrade.FleetConfiguration
 
 	mu sync.Mutex
+	// configurations holds the configurations of the VMs that do not have config.
+	configurations map[string]*bergamotgrade.FleetConfiguration
 	// alive maps the VM of each running process to its incarnation.
 	alive map[string]int64
 }
@@ -196,7 +205,7 @@
 		Targets: []bergamotgrade.RouteTarget{{Service: "svc", Weight: 1}}, MaxWaitingTokens: 1000,
 	}
 	return &testFleet{
-		store: &faultyStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}, engine: &engine{runs: map[string]int{}}, servers: []string{"e"}, alive: map[string]int64{},
+		store: &faultyStore{Store: standin.NewStore(bergamotgrade.SystemClock{})}, engine: &engine{runs: map[string]int{}}, servers: []string{"e"}, alive: map[string]int64{}, configurations: map[string]*bergamotgrade.FleetConfiguration{},
 		config: bergamotgrade.NewFleetConfiguration(1, 1, []bergamotgrade.FleetRoute{route}, nil, nil, bergamotgrade.CallerLimits{}),
 	}
 }
@@ -207,7 +216,21 @@
 	f.alive[name] = incarnation
 }
 
-func (vm *testVM) Configuration() *bergamotgrade.FleetConfiguration { return vm.fleet.config }
+// setConfiguration puts a configuration in force at one VM.
+func (f *testFleet) setConfiguration(name string, config *bergamotgrade.FleetConfiguration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configurations[name] = config
+}
+
+func (vm *testVM) Configuration() *bergamotgrade.FleetConfiguration {
+	vm.fleet.mu.Lock()
+	defer vm.fleet.mu.Unlock()
+	if config, ok := vm.fleet.configurations[vm.name]; ok {
+		return config
+	}
+	return vm.fleet.config
+}
 
 func (vm *testVM) RunnerFor(_ string, homes bergamotgrade.Homes, acceptedBy string) (string, int64) {
 	vm.fleet.mu.Lock()
@@ -282,7 +305,7 @@
 	}
 	return vm.service.Submit(context.Background(), Submission{
 		JobID: id, Team: team, Host: "h", Path: "/b/" + id, Route: vm.fleet.config.Route("h", "/b/"), Items: items,
-		SameRoute: func(string, string) bool { return true }, Deadline: time.Now().Add(4 * time.Second),
+		SameRoute: func(string, string) bool { return true }, ConfigVersion: vm.Configuration().Version, Deadline: time.Now().Add(4 * time.Second),
 	})
 }
 
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -31,6 +31,23 @@
 	unstored []Result
 	// ctx ends when the items have to stop; nil until the items are loaded.
 	ctx context.Context
+	// waitLogged is set once it is logged that the job waits for a newer configuration.
+	waitLogged bool
+}
+
+// awaitsConfiguration reports whether the configuration in force on this VM is older than the one under which
+// the job was accepted. It logs the first time that it is.
+func (j *ownedJob) awaitsConfiguration(config *bergamotgrade.FleetConfiguration) bool {
+	if !j.spec.isNewerThan(config) {
+		return false
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if !j.waitLogged {
+		j.waitLogged = true
+		j.runner.log.Info("job waits for the configuration under which it was accepted", "job", j.id, "version", j.spec.ConfigVersion, "version_in_force", config.Version)
+	}
+	return true
 }
 
 // observeHead stops the job if a newer head from the cache shows that it was
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -89,6 +89,9 @@
 	// the job, and AcceptedBy, the VM that accepted it, while none of them is alive.
 	Homes      bergamotgrade.Homes `msgpack:"homes"`
 	AcceptedBy string              `msgpack:"accepted_by"`
+	// ConfigVersion is the version of the configuration under which the job was accepted; zero if a VM
+	// of an earlier release has written the head.
+	ConfigVersion int64 `msgpack:"config_version"`
 	// Revision is the store's revision of the head's entry.
 	Revision int64 `msgpack:"-"`
 }
@@ -96,6 +99,12 @@
 // Open reports whether the job was not cancelled and lacks results.
 func (h Head) Open() bool { return !h.Ended && h.Listed < h.Items }
 
+// isNewerThan reports whether the job was accepted under a newer configuration than the given one. The copies of
+// the configuration and of the heads are followed independently, so a VM may know a job before its route.
+func (h Head) isNewerThan(config *bergamotgrade.FleetConfiguration) bool {
+	return config.Version < h.ConfigVersion
+}
+
 // cacheKey returns the key of a value of the job in the cache of this VM. A job that was removed may
 // be followed by another one with the same records.
 func (h Head) cacheKey(key string) string { return key + "@" + strconv.FormatInt(h.SubmittedAt, 36) }
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -224,7 +224,8 @@
 }
 
 // startItems starts waiting items in free slots, the most urgent first. It abandons
-// items without a batch route and items past their route's retention time.
+// items without a batch route and items past their route's retention time. Items of jobs
+// that are newer than the configuration wait.
 func (r *Runner) startItems(ctx context.Context) {
 	config := r.fleet.Configuration()
 	if config == nil {
@@ -233,6 +234,9 @@
 	now := r.clock.Now()
 	full := map[bergamotgrade.ServerSet]bool{}
 	for _, item := range r.waitingItems(now) {
+		if item.job.awaitsConfiguration(config) {
+			continue
+		}
 		route := config.Route(item.job.spec.Host, item.job.spec.Path)
 		if route == nil || route.Kind != bergamotgrade.RouteBatch {
 			item.abandonIfIdle("no batch route is configured for the job any more")
--- a/jobs/service.go
+++ b/jobs/service.go
@@ -51,7 +51,9 @@
 	Homes bergamotgrade.Homes
 	// SameRoute reports whether the host and path of another job select this job's route.
 	SameRoute func(host, path string) bool
-	Deadline  time.Time
+	// ConfigVersion is the version of the configuration that Route belongs to.
+	ConfigVersion int64
+	Deadline      time.Time
 }
 
 // Submit stores the job and is idempotent: it succeeds again for a job id that the
@@ -109,7 +111,7 @@
 		SubmittedAt: now.UnixMilli(), DueAt: now.Add(submission.Route.RunObjective).UnixMilli(),
 		KeepUntil: now.Add(submission.Route.Retention).UnixMilli(),
 		Items:     len(submission.Items), WaitingTokens: tokens,
-		Homes: submission.Homes, AcceptedBy: s.vmID,
+		Homes: submission.Homes, AcceptedBy: s.vmID, ConfigVersion: submission.ConfigVersion,
 	}
 	head.Owner, head.OwnerIncarnation = s.fleet.RunnerFor(submission.JobID, head.Homes, head.AcceptedBy)
 	giveUpAt := now.Add(submitTimeout)
