Own interface: batch items wait for the state by which their job was accepted

Items of an accepted job failed for good, with key_unknown, model_unknown or route_unknown, at a VM that did not have the release note yet under which the job was accepted.

Change: files hold the revision of the state by which their items were checked, jobs the newer one of that and of the accepting VM's state. While the state of the VM that runs an item is older, the attempt fails with a transient error and is made again. A file is checked by one state from its first line to its last.

--- a/batch/record.go
+++ b/batch/record.go
@@ -17,6 +17,8 @@
 	// Once is set when some items must not be repeated.
 	Once     bool          `json:"once,omitempty"`
 	Segments []FileSegment `json:"segments"`
+	// StateRevision is the revision of the configuration state by which the items were checked.
+	StateRevision int64 `json:"state_revision,omitempty"`
 }
 
 // FileSegment is a segment of a file with the range of items that it holds.
@@ -52,6 +54,9 @@
 	Items       int               `json:"items"`
 	Metadata    map[string]string `json:"metadata,omitempty"`
 	RequestHash string            `json:"request_hash"`
+	// StateRevision is the revision of the configuration state under which the job was accepted. A VM with an
+	// older one cannot tell which of its items have no model or route.
+	StateRevision int64 `json:"state_revision,omitempty"`
 }
 
 // Ranges returns the number of ranges into which the job's items are divided.
--- a/caller/batches.go
+++ b/caller/batches.go
@@ -120,6 +120,7 @@
 		JobID:  idempotentID("batch_", caller.team.TeamID, x.req.Header.Get(headerIdempotencyKey)),
 		TeamID: caller.team.TeamID, KeyHash: caller.keyHash, FileID: file.FileID, Endpoint: request.Endpoint,
 		Status: batch.JobInProgress, CreatedAt: now, Items: file.Items, Metadata: request.Metadata,
+		StateRevision: max(file.StateRevision, s.deps.Source.State().Revision()),
 	}
 	var err error
 	if job.DueAt, err = dueAt(now, request); err != nil {
--- a/caller/executor.go
+++ b/caller/executor.go
@@ -13,6 +13,7 @@
 	"github.com/bergamotgrade/bergamotgrade/batch"
 	"github.com/bergamotgrade/bergamotgrade/dispatch"
 	"github.com/bergamotgrade/bergamotgrade/queue"
+	"github.com/bergamotgrade/bergamotgrade/release"
 )
 
 const (
@@ -44,6 +45,22 @@
 	return &Executor{clock: deps.Clock, source: deps.Source, limiter: deps.Limiter, dispatcher: deps.Dispatcher}
 }
 
+// fixedState is a StateSource whose state stays as it is.
+type fixedState struct {
+	StateSource
+	state *release.State
+}
+
+// State implements StateSource.
+func (s fixedState) State() *release.State { return s.state }
+
+// by returns an executor that goes by the state, whatever becomes of the configuration.
+func (e *Executor) by(state *release.State) *Executor {
+	fixed := *e
+	fixed.source = fixedState{StateSource: e.source, state: state}
+	return &fixed
+}
+
 // Check returns why an item can never be dispatched, or "" if it can.
 func (e *Executor) Check(item batch.Item) string {
 	var err error
@@ -134,8 +151,14 @@
 	return failure.NotRun() || !e.AtMostOnce(item)
 }
 
+// attempt runs the item once. While the state of this VM is older than the job, it fails with a transient error: what
+// the state lacks may have been added.
 func (e *Executor) attempt(ctx context.Context, job batch.Job, item batch.Item) (batch.Result, error) {
-	team, ok := e.source.State().Team(job.TeamID)
+	state := e.source.State()
+	if state.Revision() < job.StateRevision {
+		return batch.Result{}, bergamotgrade.NewError(bergamotgrade.KindNotReady, "this VM does not have the configuration of the batch job yet", "wait until it has").WithNotRun()
+	}
+	team, ok := state.Team(job.TeamID)
 	if !ok {
 		return batch.Result{}, bergamotgrade.NewError(bergamotgrade.KindKeyUnknown, "the batch's team was withdrawn", "ask your operator")
 	}
--- a/caller/files.go
+++ b/caller/files.go
@@ -106,7 +106,10 @@
 
 func (s *Server) storeFile(x *exchange, part *multipart.Part, file *batch.File) ([]batch.LineError, error) {
 	file.Name = path.Base(part.FileName())
-	stored, lineErrors, err := s.deps.Batches.Upload(x.req.Context(), *file, part, s.deps.Executor.Check, s.deps.Executor.AtMostOnce)
+	state := s.deps.Source.State()
+	file.StateRevision = state.Revision()
+	executor := s.deps.Executor.by(state)
+	stored, lineErrors, err := s.deps.Batches.Upload(x.req.Context(), *file, part, executor.Check, executor.AtMostOnce)
 	*file = stored
 	return lineErrors, err
 }
