Relay: a silent server ends no answer that nobody else can go on with

Cause: the limits on the pause within an answer and on the time to its head were fixed when an attempt began and ended it whether or not another server could go on: at the last attempt, after a hedged run had used up the attempts, and without any other server.

Change: when such a limit passes in silence, the connection asks the relay whether the request may move.

--- a/attempt.go
+++ b/attempt.go
@@ -30,6 +30,9 @@
 	ResponseHeaderTimeout time.Duration
 	// StallTimeout is the maximum pause within the response; zero is unbounded.
 	StallTimeout time.Duration
+	// MayMove is asked when one of these two times has passed in silence: while it returns false, no other
+	// server can go on with the request, and the exchange waits on until the deadline. Nil always moves.
+	MayMove func() bool
 	// Repeatable marks a request that may run more than once; its attempts may use a
 	// connection that has been idle for long.
 	Repeatable bool
--- a/placement/pick.go
+++ b/placement/pick.go
@@ -95,16 +95,16 @@
 		if best != nil {
 			return best.record, true
 		}
-		if criteria.Hedge || sel.anyHealthy(now, criteria) {
+		if criteria.Hedge || sel.HasHealthyServer(now, criteria) {
 			return bergamotgrade.ServerRecord{}, false
 		}
 	}
 	return bergamotgrade.ServerRecord{}, false
 }
 
-// anyHealthy reports whether the set has a server that is neither ejected nor
+// HasHealthyServer reports whether the set has a server that is neither ejected nor
 // avoided, even if it has no free slot now.
-func (sel *Selector) anyHealthy(now time.Time, criteria Criteria) bool {
+func (sel *Selector) HasHealthyServer(now time.Time, criteria Criteria) bool {
 	for _, s := range sel.servers {
 		if sel.isHealthy(now, s, criteria) {
 			return true
--- a/relay/race.go
+++ b/relay/race.go
@@ -84,7 +84,9 @@
 	run.hedged = true
 	attempt := r.attempt
 	attempt.ResponseHeaderTimeout = 0
-	if run.runs+2 < req.MaxAttempts {
+	attempt.MayMove = run.moveCheck(slot.server)
+	run.isLast.Store(run.runs+2 >= req.MaxAttempts)
+	if !run.isLast.Load() {
 		attempt.ResponseHeaderTimeout = time.Duration(responseHeaderShare * float64(req.Deadline.Sub(now)))
 	}
 	var legCtx context.Context
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -83,6 +85,9 @@
 	timer *RunTimer
 	// hedged is set once a second server was tried while another one ran the request.
 	hedged bool
+	// isLast is set while no further attempt may follow the current ones, which may run in goroutines of
+	// their own.
+	isLast atomic.Bool
 }
 
 // Serve proxies the request and writes the response to out. It returns a
@@ -169,6 +174,10 @@
 		Header: req.Header, Body: req.Body, Team: req.Team,
 		ResumeAfter: run.events.Last(), Deadline: req.Deadline, Repeatable: req.Repeatable,
 	}
+	run.isLast.Store(!run.canRetry())
+	if req.Repeatable {
+		attempt.MayMove = run.moveCheck(server)
+	}
 	if req.Streams && req.Repeatable {
 		attempt.StallTimeout = max(minStall, stallFactor*req.GapObjective)
 	}
@@ -202,6 +211,19 @@
 	return run.req.Repeatable && run.runs+1 < run.req.MaxAttempts
 }
 
+// moveCheck returns a function that reports whether the request may move from the given server to another one.
+// A silent server may still be at work, so nobody leaves it if there is none.
+func (run *requestRun) moveCheck(server bergamotgrade.ServerRecord) func() bool {
+	req := run.req
+	avoid := maps.Clone(run.avoid)
+	avoid[server.ServerID] = true
+	return func() bool {
+		now := run.relay.clock.Now()
+		return !run.isLast.Load() && run.canGoOn() && now.Before(req.Deadline.Add(-minAttemptTime)) &&
+			run.relay.scheduler.HasOtherServer(run.origin.Servers(req.Service, req.Homes), avoid)
+	}
+}
+
 // handle processes the result of one exchange and releases the slot.
 func (run *requestRun) handle(ctx context.Context, slot *Slot, answer *bergamotgrade.Answer, err error) (done bool, _ error) {
 	server := slot.Server()
--- a/relay/scheduler.go
+++ b/relay/scheduler.go
@@ -144,6 +144,14 @@
 	return s.selector.HasServer(s.clock.Now(), servers)
 }
 
+// HasOtherServer reports whether a server of the set runs requests, or will once it has a free slot, that is
+// neither ejected nor to be avoided.
+func (s *Scheduler) HasOtherServer(servers bergamotgrade.ServerSet, avoid map[string]bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.HasHealthyServer(s.clock.Now(), placement.Criteria{Servers: servers, Class: placement.Online, Avoid: avoid})
+}
+
 // queue returns the queue for the servers. Streams that have begun wait in queues of their own,
 // so that they hold nobody up while the servers of their version are busy. The caller holds the
 // lock.
