--- a/backend/client.go
+++ b/backend/client.go
@@ -76,17 +76,53 @@
 }
 
 // sendTrace records whether a request obtained a connection; from then on the server
-// may have received any part of it.
+// may have received any part of it. It also records how the writing of the request ended.
 type sendTrace struct {
 	connected atomic.Bool
+
+	mu sync.Mutex
+	// written receives the result of the write on the last connection.
+	written chan error
 }
 
 func (t *sendTrace) context(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) { t.connected.Store(true) },
+		GotConn: func(httptrace.GotConnInfo) {
+			t.connected.Store(true)
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.written = make(chan error, 1)
+		},
+		WroteRequest: func(info httptrace.WroteRequestInfo) {
+			select {
+			case t.lastWrite() <- info.Err:
+			default:
+			}
+		},
 	})
 }
 
+func (t *sendTrace) lastWrite() chan error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.written
+}
+
+// checkEnd returns an error if the answer, which has been read to its end, may lack a part. One with
+// neither a length nor chunks ends with its connection: if that was reset while the request was still
+// being written, the writer got the error and the reader a plain end.
+func (t *sendTrace) checkEnd(ctx context.Context, res *http.Response) error {
+	if res.ContentLength >= 0 || len(res.TransferEncoding) > 0 {
+		return nil
+	}
+	select {
+	case err := <-t.lastWrite():
+		return err
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
 func (t *sendTrace) classify(err error) *bergamotgrade.DispatchError {
 	if t.connected.Load() {
 		return bergamotgrade.MaybeRan(err)
@@ -169,6 +205,9 @@
 	}
 	defer res.Body.Close()
 	answer, err := readServiceAnswer(res, call.AttemptID)
+	if err == nil {
+		err = errors.Wrap(trace.checkEnd(ctx, res), "the call was not written to its end")
+	}
 	if err != nil {
 		return bergamotgrade.ServiceAnswer{}, bergamotgrade.MaybeRan(err)
 	}
