Servers' answers: a status that HTTP does not have is no answer

Callers got status 600 and 999 as answers, reported by another operator and seen here by the users' review. Status 000, and all below 100, counted as interim: with a body that looks like a head, the bytes inside the body became the answer. The own interface passed every status on; 000 ended its caller's connection by a panic of net/http.

Change: 100 to 199 but 101 are interim and 200 to 599 answers, at both clients of servers; anything else is a failure after which the request may have run. A stream of tokens needs a success.

--- a/backend/client.go
+++ b/backend/client.go
@@ -165,13 +165,13 @@
 	return s, nil
 }
 
-// checkResponse returns an error if the response belongs to another attempt or has an
-// error status.
+// checkResponse returns an error if the response belongs to another attempt or is no
+// success.
 func checkResponse(res *http.Response, attemptID string) error {
 	if got := res.Header.Get(headerAttemptID); got != attemptID {
 		return errors.Newf("answer of attempt %q arrived for attempt %q (status %d)", got, attemptID, res.StatusCode)
 	}
-	if res.StatusCode >= http.StatusBadRequest {
+	if res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices {
 		return errors.Newf("the server answered %s", res.Status)
 	}
 	return nil
@@ -218,6 +218,9 @@
 	if got := res.Header.Get(headerAttemptID); got != attemptID {
 		return bergamotgrade.ServiceAnswer{}, errors.Newf("answer of attempt %q arrived for attempt %q", got, attemptID)
 	}
+	if !bergamotgrade.IsFinalStatus(res.StatusCode) {
+		return bergamotgrade.ServiceAnswer{}, errors.Newf("received a response with status %03d", res.StatusCode)
+	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswerBytes+1))
 	if err != nil {
 		return bergamotgrade.ServiceAnswer{}, errors.Wrap(err, "the answer was cut short")
