Planned stop: requests that may outlast the grace period are refused before they run

Cause: the VM took whatever arrived on its open connections, whatever time was left, and closed what was still open at the end without an answer.

Change: from SIGTERM on, a request that was not passed on is taken only if its deadline is before the end of the grace period; one that may be repeated also during the notice. All others are refused at once as not run, at their head, after their body and when a slot comes free. Shortly before the connections are closed, the requests that are still open end with an answer: 503 if they have not run, else 502. The same on the own interface, with its drain time.

--- a/caller/completion.go
+++ b/caller/completion.go
@@ -41,6 +41,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.checkStop(outgoing.Deadline, true); err != nil {
+		return err
+	}
 	if err := s.deps.Limiter.Admit(x.req.Context(), caller.team); err != nil {
 		return err
 	}
--- a/caller/constants.go
+++ b/caller/constants.go
@@ -7,6 +7,9 @@
 	maxPromptParts = 32
 	// writeTimeout is the maximum duration of one write to a caller that does not read.
 	writeTimeout = 10 * time.Second
+	// lastAnswersReserve is the time before the end of a drain that is left for the answers to requests
+	// that could not be completed.
+	lastAnswersReserve = 200 * time.Millisecond
 	// noRoomRetryAfter is the Retry-After of requests for which there is no room: bodies that stop
 	// short are given up after some seconds.
 	noRoomRetryAfter = time.Second
--- a/caller/in_flight.go
+++ b/caller/in_flight.go
@@ -71,6 +71,17 @@
 	}
 }
 
+// cancelAll cancels all requests.
+func (f *inFlight) cancelAll(cause error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, requests := range f.requests {
+		for r := range requests {
+			r.cancel(cause)
+		}
+	}
+}
+
 func keyWithdrawnError() error {
 	return bergamotgrade.NewError(bergamotgrade.KindKeyWithdrawn, "the key was withdrawn while the request ran", "use a key that is in force")
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -77,7 +77,8 @@
 	handler  http.Handler
 
 	connections atomic.Int64
-	draining    atomic.Bool
+	// stop is set once Drain has been called.
+	stop atomic.Pointer[bergamotgrade.PlannedStop]
 	// lastAccept is the time of the newest connection in Unix nanoseconds.
 	lastAccept atomic.Int64
 }
@@ -140,7 +141,7 @@
 		defer x.release()
 		x.req = x.req.WithContext(reqCtx)
 		x.w.Header().Set(headerRequestID, x.requestID)
-		if s.draining.Load() {
+		if s.Draining() {
 			x.w.Header().Set("Connection", "close")
 		}
 		ctx.StopExecution()
--- a/caller/service.go
+++ b/caller/service.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if err := s.checkStop(deadline, route.Idempotent); err != nil {
+		return err
+	}
 	if !route.Anonymous {
 		if err := s.deps.Limiter.Admit(x.req.Context(), caller.team); err != nil {
 			return err
--- a/entry/constants.go
+++ b/entry/constants.go
@@ -53,6 +53,9 @@
 	// shutdownReserve is the part of the grace period that is reserved for closing the
 	// servers and ending the lease.
 	shutdownReserve = 700 * time.Millisecond
+	// lastAnswersReserve is the time before the connections of callers are closed that is left for the
+	// answers to requests that could not be completed.
+	lastAnswersReserve = 200 * time.Millisecond
 	// settingsCheckInterval is the pause between two reads of the settings file, which
 	// may change without a SIGHUP.
 	settingsCheckInterval = 5 * time.Second
--- a/entry/shutdown.go
+++ b/entry/shutdown.go
@@ -9,11 +9,15 @@
 )
 
 // shutdown completes the requests in flight within the stop grace period and ends the
-// registration.
+// registration. Requests that are not sure to be complete by then are refused before they run.
 func (n *Node) shutdown(servers map[string]*http.Server) {
-	endAt := time.Now().Add(n.settings.StopGrace - shutdownReserve)
-	n.log.Info("VM stopping; completing requests in flight", "grace", n.settings.StopGrace.String())
-	n.view.setLeaving()
+	now := time.Now()
+	endAt := now.Add(n.settings.StopGrace - shutdownReserve)
+	stop := bergamotgrade.PlannedStop{NoticeEnd: now.Add(drainDelay), AnswersBy: endAt.Add(-lastAnswersReserve)}
+	n.log.Info("VM stopping; completing requests in flight", "grace", n.settings.StopGrace.String(), "answers_by", stop.AnswersBy)
+	n.view.setPlannedStop(stop)
+	lastAnswers := time.AfterFunc(time.Until(stop.AnswersBy), n.callerHandler.EndRequests)
+	defer lastAnswers.Stop()
 	n.announce()
 	n.runner.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), endAt)
--- a/entry/view.go
+++ b/entry/view.go
@@ -56,6 +56,7 @@
 	copies            map[copyID]announcedCopy
 	limiter           *limit.FleetLimiter
 	leaving           bool
+	plannedStop       bergamotgrade.PlannedStop
 	levelFetchClaimed bool
 	// startDecided is set once it is known whether all VMs have started together.
 	startDecided bool
@@ -152,6 +153,20 @@
 	v.leaving = true
 }
 
+// setPlannedStop marks this VM as stopping, with the times of the stop.
+func (v *view) setPlannedStop(stop bergamotgrade.PlannedStop) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.leaving, v.plannedStop = true, stop
+}
+
+// PlannedStop implements platform.FleetState.
+func (v *view) PlannedStop() bergamotgrade.PlannedStop {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.plannedStop
+}
+
 // setMembers replaces the registered VMs, given as store entries by key.
 func (v *view) setMembers(entries map[string]bergamotgrade.Entry) {
 	members := make(map[string]member, len(entries))
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -161,6 +161,12 @@
 		slot.Release(placement.OutcomeAborted)
 		return true, run.contextError(ctx, err)
 	}
+	if req.MayBegin != nil && run.runs == 0 {
+		if err := req.MayBegin(); err != nil {
+			slot.Release(placement.OutcomeAborted)
+			return true, err
+		}
+	}
 	run.slot = slot
 	server := slot.Server()
 	sentAt := run.relay.clock.Now()
@@ -291,9 +297,13 @@
 // canGoOn reports whether another answer can bring what the caller still lacks.
 func (run *requestRun) canGoOn() bool { return !run.bodyBegun && run.events.CanResume() }
 
-// contextError returns a KindDeadlineExceeded error caused by err if the deadline
-// ended the context, else err itself.
+// contextError returns the error for the caller whose request failed with err: a KindDeadlineExceeded error if the
+// deadline ended the context, the cause if that is an error for callers, else err itself.
 func (run *requestRun) contextError(ctx context.Context, err error) error {
+	var ended *bergamotgrade.Error
+	if errors.As(context.Cause(ctx), &ended) {
+		return ended.WithCause(err)
+	}
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		return bergamotgrade.NewError(bergamotgrade.KindDeadlineExceeded, "the deadline passed before the answer was complete", "allow more time").WithCause(err)
 	}
--- a/relay/request.go
+++ b/relay/request.go
@@ -48,6 +48,9 @@
 	ResumeAfter string
 	// Resumes is the id of the request that brought the caller the first event.
 	Resumes string
+	// MayBegin is asked before a server runs the request for the first time; its error ends the request as
+	// not run. It may be nil.
+	MayBegin func() error
 }
 
 func (req *Request) traits() bergamotgrade.RequestTraits {
