Own interface: the heads of servers' answers have at most 64 KiB

A server in trouble may send a head without end. The client of the own interface kept up to 10 MiB of it, the default of net/http, for each request.

--- a/backend/client.go
+++ b/backend/client.go
@@ -66,11 +66,13 @@
 		return existing
 	}
 	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: 10 * time.Second}
-	transports := &serverTransports{
-		pooled:   &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout, DisableCompression: true},
-		probes:   &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, DisableCompression: true},
-		unpooled: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true, DisableCompression: true},
+	newTransport := func() *http.Transport {
+		return &http.Transport{DialContext: dialer.DialContext, IdleConnTimeout: idleConnTimeout, DisableCompression: true, MaxResponseHeaderBytes: maxAnswerHeadBytes}
 	}
+	transports := &serverTransports{pooled: newTransport(), probes: newTransport(), unpooled: newTransport()}
+	transports.pooled.MaxIdleConnsPerHost = maxIdleConns
+	transports.probes.MaxIdleConnsPerHost = 1
+	transports.unpooled.DisableKeepAlives = true
 	c.transports[address] = transports
 	return transports
 }
--- a/backend/constants.go
+++ b/backend/constants.go
@@ -5,6 +5,9 @@
 const (
 	// maxEventBytes is the maximum size of one event of a stream.
 	maxEventBytes = 1 << 20
+	// maxAnswerHeadBytes bounds the heads of a response, interim ones included: a server in trouble may send
+	// one without end.
+	maxAnswerHeadBytes = 64 << 10
 	// maxAnswerBytes is the maximum size of the response body of a plain service.
 	maxAnswerBytes = 8 << 20
 	// dialTimeout is the maximum time to establish a connection.
