Soak: odd statuses, hesitating engines, slow uploads; planned stops are checked for cut ones

Uploads take up to 5 s to a route whose time-out is longer than the grace period. Of planned stops beside which no other fault is active, LOST is reported for an upload that an engine ran and whose connection ended without an answer.

--- a/soak/checker.go
+++ b/soak/checker.go
@@ -21,6 +21,7 @@
 	sentAt time.Time
 	// resumedAfter is the number of events that the caller had before; zero begins the stream.
 	resumedAfter int
+	endedAt      time.Time
 	reply        standin.Reply
 	err          error
 }
@@ -51,6 +52,7 @@
 	mu         sync.Mutex
 	requests   map[string]outcome
 	jobs       map[string]*job
+	stops      []plannedStop
 	violations []string
 }
 
@@ -101,7 +103,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	o := c.requests[id]
-	o.reply, o.err = reply, err
+	o.endedAt, o.reply, o.err = time.Now(), reply, err
 	c.requests[id] = o
 	switch {
 	case o.served() && (reply.Body != standin.StreamTextAfter(id, o.resumedAfter) || reply.Signature != "seal-"+id):
@@ -251,6 +253,7 @@
 		}
 	}
 	c.checkRate(limited)
+	c.checkStops(counts)
 }
 
 // checkVersions checks that no stream goes on at another service or software version than the
--- a/soak/checker_test.go
+++ b/soak/checker_test.go
@@ -31,3 +31,31 @@
 		qt.Check(t, c.violations, qt.HasLen, test.violations)
 	}
 }
+
+// Guards against a check of planned stops that passes over cut uploads, or blames a stop for others.
+func TestStopsAreChecked(t *testing.T) {
+	start := time.Unix(1000, 0)
+	cut := fmt.Errorf("EOF")
+	for _, test := range []struct {
+		id         string
+		o          outcome
+		runs       int
+		violations int
+	}{
+		{"upload1-0-0", outcome{err: cut, endedAt: start.Add(time.Second)}, 1, 1},
+		{"upload1-0-0", outcome{err: cut, endedAt: start.Add(time.Second)}, 0, 0},
+		{"upload1-0-0", outcome{err: cut, endedAt: start.Add(time.Minute)}, 1, 0},
+		{"upload10-0-0", outcome{err: cut, endedAt: start.Add(time.Second)}, 1, 0},
+		{"upload1-0-0", outcome{endedAt: start.Add(time.Second)}, 1, 0},
+		{"upload1-0-0", outcome{err: errPending}, 1, 0},
+	} {
+		c := newChecker(slog.New(slog.DiscardHandler))
+		plan := []fault{{kind: faultStop, target: 1, start: time.Second, duration: time.Second}}
+		c.recordStop(plan[0], plan)
+		qt.Assert(t, c.stops, qt.HasLen, 1)
+		c.stops[0].from, c.stops[0].to = start, start.Add(stopGracePeriod)
+		c.requests[test.id] = test.o
+		c.checkStops(map[string]int{test.id: test.runs})
+		qt.Check(t, c.violations, qt.HasLen, test.violations, qt.Commentf("%+v", test))
+	}
+}
--- a/soak/constants.go
+++ b/soak/constants.go
@@ -77,6 +77,16 @@
 	// the drawn part: an evacuation has to hold some time after VMs have to know of it.
 	maxNewestFaults   = 2
 	minNewestDuration = 6 * time.Second
+	// maxAnswerFaults bounds the number of faults in the answers of engines, hesitation is the pause of a
+	// stream.
+	maxAnswerFaults = 2
+	hesitation      = 1500 * time.Millisecond
+	// uploadersPerVM callers of each VM take up to maxUploadTime to send uploadBytes of a body, to a
+	// route whose timeout is longer than the grace period of VMs.
+	uploadersPerVM = 2
+	maxUploadTime  = 5 * time.Second
+	uploadBytes    = 8 << 10
+	uploadTimeout  = 20 * time.Second
 	// evacuateTimeout is the platform's bound on the time after which an evacuated data centre must get
 	// nothing.
 	evacuateTimeout = 5 * time.Second
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -187,6 +187,7 @@
 			c.Routes[i].HomeRegions = []string{homeRegion}
 		}
 	}
+	c.Routes = append(c.Routes, standin.Route{Name: "upload", Path: uploadPath, Kind: "unsafe", Services: map[string]int{serviceOne: 1}, Attempts: 1, Timeout: uploadTimeout})
 	c.ColdStart, c.ColdPerSecond = coldStart, coldPerSecond
 	c.Teams = append(c.Teams, standin.Team{Name: limitedTeam, Keys: []string{limitedKey}, Rate: limitedRate, Burst: limitedBurst})
 	write, err := c.Write()
@@ -258,5 +259,5 @@
 
 // atMostOnce reports whether a request of the path may run only once.
 func atMostOnce(path string) bool {
-	return strings.HasPrefix(path, standin.OncePath) || strings.HasPrefix(path, standin.UnsafePath)
+	return strings.HasPrefix(path, standin.OncePath) || strings.HasPrefix(path, standin.UnsafePath) || strings.HasPrefix(path, uploadPath)
 }
--- a/soak/injector.go
+++ b/soak/injector.go
@@ -142,6 +142,7 @@
 		vm.signal(syscall.SIGSTOP)
 		return func() { vm.signal(syscall.SIGCONT) }
 	case faultStop:
+		i.fleet.checker.recordStop(f, i.plan)
 		if !vm.terminate(syscall.SIGTERM, stopGracePeriod) {
 			i.fleet.checker.reportViolation("STOP", vm.settings.VMID+" did not exit within the grace period after SIGTERM")
 		}
@@ -287,6 +288,12 @@
 			e.Restart()
 			i.fleet.registerEngine(f.target, "ready")
 		}
+	case faultEngineOdd:
+		e.AnswerWithOddStatus(true)
+		return func() { e.AnswerWithOddStatus(false) }
+	case faultEngineHesitate:
+		e.Hesitate(hesitation)
+		return func() { e.Hesitate(0) }
 	case faultEngineCold:
 		return i.startCold(f, e)
 	case faultEngineSwap:
--- a/soak/load.go
+++ b/soak/load.go
@@ -44,6 +44,9 @@
 			g.running.Go(func() { g.runCaller(ctx, vm, n) })
 		}
 		g.running.Go(func() { g.runBreaker(ctx, vm) })
+		for n := range uploadersPerVM {
+			g.running.Go(func() { g.runUploader(ctx, vm, n) })
+		}
 	}
 	g.running.Go(func() { g.runJobs(ctx) })
 	g.running.Go(func() { g.runHostile(ctx) })
--- a/soak/plan.go
+++ b/soak/plan.go
@@ -45,6 +45,8 @@
 	faultConfigStorm           faultKind = "config_storm"     // new configurations follow in quick succession
 	faultEvacuate              faultKind = "evacuation"       // a data centre is evacuated; withdrawn at the end
 	faultEngineCold            faultKind = "engine_cold"      // starts again and is cold until the end
+	faultEngineOdd             faultKind = "engine_odd"       // requests run, and the answers have statuses that HTTP does not have
+	faultEngineHesitate        faultKind = "engine_hesitates" // streams pause for longer than the time after which they move
 	faultAllKilled             faultKind = "all_killed"       // SIGKILL to all VMs
 )
 
@@ -62,6 +64,9 @@
 // newestFaults are drawn apart from both for the same reason.
 var newestFaults = []faultKind{faultEvacuate, faultEngineCold}
 
+// answerFaults are drawn apart from the others for the same reason.
+var answerFaults = []faultKind{faultEngineOdd, faultEngineHesitate}
+
 // fault is one fault of a plan. Its start is relative to the start of the load.
 type fault struct {
 	kind     faultKind
@@ -147,6 +152,7 @@
 	}
 	plan = addLaterFaults(plan, seed, size, length)
 	plan = addNewestFaults(plan, seed, size, length)
+	plan = addAnswerFaults(plan, seed, size, length)
 	if random.Float64() < allKilledProbability {
 		plan = append(plan, fault{kind: faultAllKilled, start: length, duration: time.Second})
 	}
@@ -190,6 +196,19 @@
 	return plan
 }
 
+// addAnswerFaults adds faults in the answers of engines to the plan.
+func addAnswerFaults(plan []fault, seed uint64, size fleetSize, length time.Duration) []fault {
+	random := rand.New(rand.NewPCG(seed, 4))
+	for range random.IntN(maxAnswerFaults + 1) {
+		f := fault{kind: answerFaults[random.IntN(len(answerFaults))], target: random.IntN(size.engines), duration: time.Duration(random.Int64N(int64(maxFaultDuration))) + time.Second}
+		f.start = time.Duration(random.Int64N(int64(length - f.duration)))
+		if !slices.ContainsFunc(plan, f.overlaps) {
+			plan = append(plan, f)
+		}
+	}
+	return plan
+}
+
 // overlaps reports whether both faults affect the same target at the same time.
 func (f fault) overlaps(other fault) bool {
 	return f.targetKind() == other.targetKind() && f.target == other.target && f.start < other.start+other.duration && other.start < f.start+f.duration
@@ -200,7 +219,7 @@
 	switch {
 	case slices.Contains(vmFaults, f.kind), f.kind == faultDiskReplaced:
 		return "vm"
-	case slices.Contains(engineFaults, f.kind), f.kind == faultEngineRepeat, f.kind == faultEngineBabble, f.kind == faultEngineLeave, f.kind == faultEngineCold:
+	case slices.Contains(engineFaults, f.kind), slices.Contains(answerFaults, f.kind), f.kind == faultEngineRepeat, f.kind == faultEngineBabble, f.kind == faultEngineLeave, f.kind == faultEngineCold:
 		return "engine"
 	}
 	return "fleet"
--- a/soak/plan_test.go
+++ b/soak/plan_test.go
@@ -26,5 +26,5 @@
 			}
 		}
 	}
-	qt.Assert(t, len(seen), qt.Equals, len(vmFaults)+len(engineFaults)+len(fleetFaults)+len(laterFaults)+len(newestFaults)+1)
+	qt.Assert(t, len(seen), qt.Equals, len(vmFaults)+len(engineFaults)+len(fleetFaults)+len(laterFaults)+len(newestFaults)+len(answerFaults)+1)
 }
