Memory: a request without a body keeps its connection while a server may run it

Cause: a connection was kept out of the choice of who gives way once the body of its request had been read, and never if it had none.

Change: every request that was received whole keeps its connection until it has ended.

TestRunningRequestsAreKept failed before.

--- a/memory/body.go
+++ b/memory/body.go
@@ -44,7 +44,7 @@
 func (b *Bodies) Read(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) (data []byte, holding *Holding, release func(), err error) {
 	holding, done := b.account.Of(r.Context())
 	if r.Body == nil || r.Body == http.NoBody {
-		return nil, holding, done, nil
+		return nil, holding, pin(holding, 0, done), nil
 	}
 	reader := &progressReader{body: r.Body, control: http.NewResponseController(w), progress: b.progress, deadline: deadline}
 	data, err = ReadAll(reader, holding, r.ContentLength, limit)
@@ -59,14 +59,18 @@
 		done()
 		return nil, holding, func() {}, err
 	}
-	held := int64(cap(data))
-	// While a server may be running the request, its connection is not closed to make room.
+	return data, holding, pin(holding, int64(cap(data)), done), nil
+}
+
+// pin keeps the connection of a request that was received whole: a server may be running it from now on. The
+// returned function undoes this and releases what is held of the body.
+func pin(holding *Holding, held int64, done func()) (release func()) {
 	holding.Pin(true)
-	return data, holding, func() {
+	return func() {
 		holding.Pin(false)
 		holding.Release(held)
 		done()
-	}, nil
+	}
 }
 
 // progressReader fails if fewer bytes than required arrive in a window, or after the deadline.
