Memory: heads are charged at the size that they have once parsed, and have at most 256 lines

They are charged now, and a connection whose head has more than 256 lines is closed. Lines of a body that arrives together with its head do not count.

--- a/hostile/crowd_test.go
+++ b/hostile/crowd_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -92,6 +93,19 @@
 	}
 }
 
+// manyFields sends a head with the number of empty fields, and no body.
+func manyFields(to target, fields int) client {
+	return func(conn net.Conn, number int) error {
+		var head strings.Builder
+		head.WriteString(to.head(number))
+		for field := range fields {
+			head.WriteString(strconv.FormatInt(int64(field), 36) + ":\r\n")
+		}
+		_, err := fmt.Fprintf(conn, "%sContent-Length: 10\r\n\r\n", head.String())
+		return err
+	}
+}
+
 // oneChunk sends one chunk without its last byte.
 func oneChunk(to target, size int) client {
 	return func(conn net.Conn, number int) error {
--- a/hostile/hostile_test.go
+++ b/hostile/hostile_test.go
@@ -54,6 +54,7 @@
 		{"empty_lines", "callers", connections, emptyLines(1 << 20)},
 		{"idle_connections", "callers", 1000, idle},
 		{"half_heads", "callers", 1000, halfHead},
+		{"many_fields", "callers", 1000, manyFields(stream, 2600)},
 		{"ready_idle", "ready", 1000, idle},
 		{"ready_bodies", "ready", connections, shortBody(ready, bodyBytes, 1)},
 		{"metrics_idle", "metrics", 1000, idle},
--- a/memory/constants.go
+++ b/memory/constants.go
@@ -24,6 +24,11 @@
 	// sweepInterval is the pause between two looks at all connections of a listener. It adds to the
 	// timeouts of heads and idle connections.
 	sweepInterval = 250 * time.Millisecond
+	// fieldBytes is what a field of a head costs besides its bytes once it is parsed: its part of a map, a
+	// slice and two strings.
+	fieldBytes = 128
+	// maxHeadFields bounds the lines of a head; clients send some ten, with proxies a few dozen.
+	maxHeadFields = 256
 	// headSlopBytes is what net/http may read beyond the head of a request.
 	headSlopBytes = 8 << 10
 )
--- a/memory/listener.go
+++ b/memory/listener.go
@@ -180,7 +180,12 @@
 	hasRequest bool
 	// waitsSince is the end of the last request; headSince is zero before the first byte of a head.
 	waitsSince, headSince time.Time
-	headBytes             int64
+	// headBytes and headLines are what was read of the head, headHeld is what is held for it.
+	headBytes, headHeld int64
+	headLines           int
+	// lineBytes is the number of bytes of the current line of the head; headEnded is set by an empty line.
+	lineBytes int
+	headEnded bool
 }
 
 // errHeadTooLarge is returned to the reader of a head that exceeds its limit.
@@ -190,7 +195,7 @@
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	if n > 0 {
-		if limitErr := c.countHead(n); limitErr != nil {
+		if limitErr := c.countHead(p[:n]); limitErr != nil {
 			return 0, limitErr
 		}
 	}
@@ -199,7 +204,7 @@
 
 // countHead counts bytes read if they belong to a head. It calls the account without the
 // connection's lock: an eviction takes the locks of the listener and of other connections.
-func (c *Conn) countHead(n int) error {
+func (c *Conn) countHead(data []byte) error {
 	limit := c.listener.limits().HeadBytes
 	now := c.listener.account.clock.Now()
 	c.mu.Lock()
@@ -215,14 +220,42 @@
 	if c.headSince.IsZero() {
 		c.headSince = now
 	}
-	c.headBytes += int64(n)
-	tooLarge := limit > 0 && c.headBytes > int64(limit)+headSlopBytes
+	lines := c.countLines(data)
+	cost := int64(len(data)) + int64(lines)*fieldBytes
+	c.headBytes += int64(len(data))
+	c.headLines += lines
+	tooLarge := limit > 0 && c.headBytes > int64(limit)+headSlopBytes || c.headLines > maxHeadFields
 	c.mu.Unlock()
 	if tooLarge {
 		c.listener.closed.Add(1)
 		return errHeadTooLarge
 	}
-	return c.holding.Reserve(int64(n))
+	if err := c.holding.Reserve(cost); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headHeld += cost
+	return nil
+}
+
+// countLines returns the number of lines of the head that end in the data. The body may follow in it. The caller
+// holds the lock.
+func (c *Conn) countLines(data []byte) int {
+	lines := 0
+	for _, b := range data {
+		switch {
+		case c.headEnded:
+			return lines
+		case b == '\n':
+			lines++
+			c.headEnded = c.lineBytes == 0
+			c.lineBytes = 0
+		case b != '\r':
+			c.lineBytes++
+		}
+	}
+	return lines
 }
 
 // setState follows the states of net/http.
@@ -233,8 +266,9 @@
 	case http.StateActive:
 		c.hasRequest = true
 	case http.StateIdle:
-		c.holding.Release(c.headBytes)
-		c.hasRequest, c.headBytes, c.headSince = false, 0, time.Time{}
+		c.holding.Release(c.headHeld)
+		c.hasRequest, c.headBytes, c.headHeld, c.headLines, c.headSince = false, 0, 0, 0, time.Time{}
+		c.lineBytes, c.headEnded = 0, false
 		c.waitsSince = c.listener.account.clock.Now()
 		c.holding.Progress()
 	}
