Jobs: a runner loads the bodies of its jobs within a budget

Cause: an owner loaded the bodies of all its jobs at once.

Change: a body is loaded while the loaded ones fit a budget, in two lanes, for large bodies and for all others, by due time. The head of a job holds the size of its body.

--- a/entry/constants.go
+++ b/entry/constants.go
@@ -70,6 +70,8 @@
 	defaultHeldShare = 0.25
 	minHeldShare     = 0.05
 	maxHeldShare     = 0.5
+	// loadedBodiesPart is the divisor of the budget that gives the bytes of batch jobs that are loaded to run.
+	loadedBodiesPart = 2
 	// defaultBodyProgressBytes in defaultBodyProgressWindow is a rate at which no body of
 	// more than a few KB arrives by its deadline; only clients that have stopped are below it.
 	defaultBodyProgressBytes  = 256
--- a/entry/node.go
+++ b/entry/node.go
@@ -116,6 +116,7 @@
 	n.runner = jobs.NewRunner(jobs.Config{
 		Clock: n.clock, VMID: settings.VMID, Incarnation: n.incarnation, Fleet: n.view, Scheduler: n.scheduler, Exchanger: exchanger, Guard: n.guard,
 		Repository: n.repository, HeadCache: n.headCache, Observer: n.metrics, Log: log, ResultRetention: settings.ResultRetention,
+		LoadBytes: n.account.Budget() / loadedBodiesPart,
 	})
 	proxy := relay.New(n.clock, n.scheduler, exchanger, n.guard, n.origins, log, n.metrics)
 	if err := proxy.EnableHedging(options.HedgeShare, n.metrics); err != nil {
@@ -148,6 +149,8 @@
 	n.metrics.Gauge("config_version", func() int64 { return n.view.configurationVersion() })
 	n.metrics.Gauge("jobs_owned", func() int64 { jobs, _ := n.runner.Count(); return int64(jobs) })
 	n.metrics.Gauge("items_running", func() int64 { _, items := n.runner.Count(); return int64(items) })
+	n.metrics.Gauge("job_bytes_loaded", func() int64 { bytes, _ := n.runner.Loads(); return bytes })
+	n.metrics.Gauge("jobs_waiting_for_memory", func() int64 { _, waiting := n.runner.Loads(); return int64(waiting) })
 	n.metrics.Gauge("prompt_parts_quarantined", func() int64 { parts, _ := n.guard.Quarantined(); return int64(parts) })
 	n.metrics.Gauge("requests_quarantined", func() int64 { _, requests := n.guard.Quarantined(); return int64(requests) })
 	n.metrics.Gauge("evacuated_data_centres", n.evacuatedDataCentres)
--- a/jobs/constants.go
+++ b/jobs/constants.go
@@ -29,6 +29,13 @@
 	// which no caller needs at once, it doubles up to maxStoreRetryDelay.
 	storeRetryDelay    = 150 * time.Millisecond
 	maxStoreRetryDelay = 600 * time.Millisecond
+	// largeBodyBytes is the size above which a job's body counts as large, and all but one part in
+	// largeLanePart of the budget of loaded bodies is for large ones.
+	largeBodyBytes = 256 << 10
+	largeLanePart  = 4
+	// maxLargeLoads bounds the large bodies that are decoded at the same time; each costs several times its
+	// bytes meanwhile.
+	maxLargeLoads = 2
 	// maxCacheBytes bounds the results and bodies in memory.
 	maxCacheBytes = 24 << 20
 	// maxAnswerBytes bounds the results in one answer; a larger single result is
--- a/jobs/jobs_test.go
+++ b/jobs/jobs_test.go
@@ -191,6 +191,8 @@
 	// servers holds the ids of the backend servers.
 	servers []string
 	config  *bergamotgrade.FleetConfiguration
+	// loadBytes is the budget of each runner.
+	loadBytes int64
 
 	mu sync.Mutex
 	// configurations holds the configurations of the VMs that do not have config.
@@ -265,7 +267,7 @@
 	scheduler.SetServers(records)
 	vm.runner = NewRunner(Config{
 		Clock: clock, VMID: name, Incarnation: vm.incarnation, Fleet: vm, Scheduler: scheduler, Exchanger: f.engine, Guard: quarantine.New(quarantine.Config{Clock: clock, Log: log}),
-		Repository: vm.repository, HeadCache: vm.headCache, Observer: noObserver{}, Log: log, ResultRetention: time.Minute,
+		Repository: vm.repository, HeadCache: vm.headCache, Observer: noObserver{}, Log: log, ResultRetention: time.Minute, LoadBytes: f.loadBytes,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	vm.cancel = cancel
@@ -303,6 +305,14 @@
 	for _, item := range itemIDs {
 		items = append(items, Item{ItemID: item, Path: "/b/x", Body: []byte("body of " + item), Tokens: 100})
 	}
+	return vm.submitItemsFor(team, id, items)
+}
+
+func (vm *testVM) submitItems(id string, items []Item) error {
+	return vm.submitItemsFor("team", id, items)
+}
+
+func (vm *testVM) submitItemsFor(team, id string, items []Item) error {
 	return vm.service.Submit(context.Background(), Submission{
 		JobID: id, Team: team, Host: "h", Path: "/b/" + id, Route: vm.fleet.config.Route("h", "/b/"), Items: items,
 		SameRoute: func(string, string) bool { return true }, ConfigVersion: vm.Configuration().Version, Deadline: time.Now().Add(4 * time.Second),
--- a/jobs/owned_job.go
+++ b/jobs/owned_job.go
@@ -69,6 +69,11 @@
 func (j *ownedJob) run(parent, ctx context.Context) {
 	defer j.runner.removeOwned(j)
 	defer j.cancel()
+	room := j.runner.loads.acquire(ctx, j.runner.repository.bodyBytes(j.spec), j.spec.Due())
+	if room == nil {
+		return
+	}
+	defer room.release()
 	if !j.load(ctx) {
 		return
 	}
@@ -130,7 +135,7 @@
 // returns false when the context has ended.
 func (j *ownedJob) load(ctx context.Context) bool {
 	for {
-		items, err := j.runner.repository.Items(ctx, j.id, j.head)
+		items, err := j.loadItems(ctx)
 		if err == nil {
 			var storedIDs map[string]bool
 			if storedIDs, err = j.storedItemIDs(ctx); err == nil {
@@ -145,6 +150,20 @@
 	}
 }
 
+// loadItems reads the job's items. Few large bodies are read at a time.
+func (j *ownedJob) loadItems(ctx context.Context) ([]Item, error) {
+	r := j.runner
+	if r.repository.bodyBytes(j.spec) > largeBodyBytes {
+		select {
+		case r.largeLoads <- struct{}{}:
+			defer func() { <-r.largeLoads }()
+		case <-ctx.Done():
+			return nil, context.Cause(ctx)
+		}
+	}
+	return r.repository.Items(ctx, j.id, j.head)
+}
+
 // storedItemIDs returns the ids of the items that have a stored result.
 func (j *ownedJob) storedItemIDs(ctx context.Context) (map[string]bool, error) {
 	storedIDs := map[string]bool{}
--- a/jobs/record.go
+++ b/jobs/record.go
@@ -79,6 +79,8 @@
 	// the head was last written.
 	WaitingTokens int64 `msgpack:"waiting_tokens"`
 	BodyParts     int   `msgpack:"body_parts"`
+	// BodyBytes is the size of the stored body; zero if a VM of an earlier release has written the head.
+	BodyBytes int64 `msgpack:"body_bytes"`
 	// Ended is set once a caller has cancelled the job.
 	Ended bool `msgpack:"ended"`
 	// Owner is the id of the VM whose process runs the items, and OwnerIncarnation
--- a/jobs/repository.go
+++ b/jobs/repository.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -46,7 +47,7 @@
 	if len(parts) > maxBodyParts {
 		return "", Head{}, false, bergamotgrade.NewError(bergamotgrade.KindRequestTooLarge, "the batch job is too large to be stored", "send it in several jobs").WithNotRun()
 	}
-	head.BodyParts = len(parts)
+	head.BodyParts, head.BodyBytes = len(parts), int64(totalBytes(parts))
 	ids := recordIDs(head.Team, jobID)
 	// others holds the revisions of the heads of other teams' jobs, by record id.
 	others := make(map[string]int64, len(ids))
@@ -270,6 +271,11 @@
 	return parts, nil
 }
 
+// bodyBytes returns the size of the job's body, or the most that it can be.
+func (r *Repository) bodyBytes(head Head) int64 {
+	return cmp.Or(head.BodyBytes, int64(head.BodyParts)*int64(r.valueBytes))
+}
+
 func totalBytes(parts [][]byte) int {
 	total := 0
 	for _, part := range parts {
--- a/jobs/runner.go
+++ b/jobs/runner.go
@@ -40,6 +40,9 @@
 	observer        relay.Observer
 	log             *slog.Logger
 	resultRetention time.Duration
+	// loads bounds the bodies of the owned jobs in memory, largeLoads those large ones that are being decoded.
+	loads      *loadBudget
+	largeLoads chan struct{}
 
 	mu    sync.Mutex
 	owned map[string]*ownedJob
@@ -73,6 +76,8 @@
 	Log         *slog.Logger
 	// ResultRetention is how long after its submission a job's results stay readable.
 	ResultRetention time.Duration
+	// LoadBytes bounds the bytes of the bodies in memory; zero sets no bound.
+	LoadBytes int64
 }
 
 // NewRunner returns a runner without jobs; Run claims and runs them.
@@ -81,6 +86,7 @@
 		clock: config.Clock, self: config.VMID, incarnation: config.Incarnation, fleet: config.Fleet,
 		scheduler: config.Scheduler, exchanger: config.Exchanger, guard: config.Guard, repository: config.Repository, headCache: config.HeadCache,
 		observer: config.Observer, log: config.Log, resultRetention: config.ResultRetention,
+		loads: newLoadBudget(config.LoadBytes), largeLoads: make(chan struct{}, maxLargeLoads),
 		owned: map[string]*ownedJob{}, claiming: map[string]bool{}, strays: strays{}, wake: make(chan struct{}, 1),
 	}
 }
@@ -335,6 +341,9 @@
 	return len(r.owned), items
 }
 
+// Loads returns the bytes of the bodies in memory and the number of jobs that wait until theirs fits.
+func (r *Runner) Loads() (bytes int64, waiting int) { return r.loads.loadedBytes() }
+
 // removeExpiredJobs removes jobs of this VM that are complete or cancelled and whose
 // results no longer have to be readable.
 func (r *Runner) removeExpiredJobs(ctx context.Context, heads map[string]Head) {
--- a/memory/account.go
+++ b/memory/account.go
@@ -49,6 +49,9 @@
 	return &Account{clock: clock, budget: budget, report: report, holdings: map[*Holding]struct{}{}}
 }
 
+// Budget returns the budget in bytes.
+func (a *Account) Budget() int64 { return a.budget }
+
 // Holding is the bytes that are held for one connection or call. A nil Holding takes any number of
 // bytes and counts none.
 type Holding struct {
