Mirrors: a watch whose answer is overdue is made again

Cause: a watch of the heads of jobs waits for 4 s, and its answer was given up 1.5 s after that.

Change: a watch is made again once its answer is 0.4 s overdue, without counting as a failure of the store. Watches of heads wait for 1.5 s, which is at most 0.4 calls a second more for a whole fleet.

--- a/entry/node.go
+++ b/entry/node.go
@@ -136,7 +136,8 @@
 		{platform.ServerPrefix, follow.StartJoined, 0, follow.LongWatchWait, n.setServers},
 		{memberPrefix, follow.StartDiscovering, 0, follow.LongWatchWait, n.setMembers},
 		{quarantine.Prefix, follow.StartJoined, 0, follow.LongWatchWait, n.guard.SetEntries},
-		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, follow.LongWatchWait, n.headCache.SetEntries},
+		// Items of an ended job may not start later than three seconds after its end, also if an answer is lost.
+		{jobs.HeadPrefix, follow.StartJoined, headFetchInterval, follow.ShortWatchWait, n.headCache.SetEntries},
 	} {
 		n.mirrors[mirror.prefix] = follow.NewMirror(n.kv, n.clock, mirror.prefix, mirror.start, mirror.fetchInterval, mirror.watchWait, n, n.announceCopy(mirror.onChange), log)
 	}
--- a/follow/mirror.go
+++ b/follow/mirror.go
@@ -23,6 +23,9 @@
 	// nevertheless; it costs more calls while nothing changes.
 	LongWatchWait  = 4 * time.Second
 	ShortWatchWait = 1500 * time.Millisecond
+	// watchLateness is how much longer than its wait a watch may take: an answer that is later was probably
+	// lost, and the changes since then are known by the next watch.
+	watchLateness = 400 * time.Millisecond
 	// historyLostInterval is the shortest time between two restarts of all watches
 	// because the store discarded its history.
 	historyLostInterval = time.Second
@@ -261,6 +264,10 @@
 			// Set before the first watch returns, so that followers can fetch from this VM now.
 			m.setWatchesStore(!m.kv.Unreachable())
 			err = m.watch(ctx)
+			if err == errWatchLate {
+				m.log.Info("answer of a watch is overdue; watching again", "prefix", m.prefix)
+				continue
+			}
 		} else {
 			err = m.list(ctx, false)
 			listed = err == nil
@@ -422,8 +429,11 @@
 	return ok && age <= maxAge
 }
 
+// errWatchLate reports that the answer of a watch is overdue.
+var errWatchLate = errors.New("the answer of the watch is overdue")
+
 // watch makes one watch call to the store and applies the changes. It returns nil if
-// the call was cancelled.
+// the call was cancelled, and errWatchLate if its answer does not come.
 func (m *Mirror) watch(ctx context.Context) error {
 	wait := m.watchWait
 	m.mu.Lock()
@@ -432,11 +442,14 @@
 	}
 	after := m.revision
 	m.mu.Unlock()
-	watchCtx, cancel := context.WithCancel(ctx)
+	watchCtx, cancel := context.WithTimeoutCause(ctx, wait+watchLateness, errWatchLate)
 	defer cancel()
 	// If other calls fail meanwhile, the watch may be waiting on a dead connection.
 	go m.cancelOnStateChange(watchCtx, cancel, m.kv.StateChanged())
 	changes, revision, err := m.kv.Changes(watchCtx, m.prefix, after, wait)
+	if err != nil && context.Cause(watchCtx) == errWatchLate {
+		return errWatchLate
+	}
 	if watchCtx.Err() != nil {
 		return nil
 	}
