--- a/caller/executor.go
+++ b/caller/executor.go
@@ -54,8 +54,8 @@
 // State implements StateSource.
 func (s fixedState) State() *release.State { return s.state }
 
-// by returns an executor that goes by the state, whatever becomes of the configuration.
-func (e *Executor) by(state *release.State) *Executor {
+// withState returns an executor that goes by the state, whatever becomes of the configuration.
+func (e *Executor) withState(state *release.State) *Executor {
 	fixed := *e
 	fixed.source = fixedState{StateSource: e.source, state: state}
 	return &fixed
--- a/caller/files.go
+++ b/caller/files.go
@@ -108,7 +108,7 @@
 	file.Name = path.Base(part.FileName())
 	state := s.deps.Source.State()
 	file.StateRevision = state.Revision()
-	executor := s.deps.Executor.by(state)
+	executor := s.deps.Executor.withState(state)
 	stored, lineErrors, err := s.deps.Batches.Upload(x.req.Context(), *file, part, executor.Check, executor.AtMostOnce)
 	*file = stored
 	return lineErrors, err
