--- a/.ci/test.sh
+++ b/.ci/test.sh
@@ -11,6 +11,13 @@
   exit 1
 fi
 go vet ./...
+# Goroutines are methods of their owners. The programs of the review stay as they are.
+anonymous=$(git ls-files '*.go' | grep -v -e '_test\.go$' -e '^review/' | xargs grep -nE '\bgo func\b' || true)
+if [ -n "$anonymous" ]; then
+  echo "goroutines that are no method named run or loop:"
+  echo "$anonymous"
+  exit 1
+fi
 go tool staticcheck ./...
 
 # The corpora of the fuzz targets are tests. What a short run finds beside them differs from run to run,
--- a/relay/leg.go
+++ b/relay/leg.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bergamotgrade/bergamotgrade"
+	"github.com/bergamotgrade/bergamotgrade/placement"
 )
 
 // leg is one of the runs of a request that race for its response.
@@ -55,6 +56,12 @@
 	}
 }
 
+// runClose closes the connection of a leg that has lost, and releases its slot.
+func (l *leg) runClose() {
+	l.close()
+	l.slot.Release(placement.OutcomeAborted)
+}
+
 // cause returns why the leg, which has ended, has no usable answer.
 func (l *leg) cause() error {
 	if l.err != nil {
--- a/relay/race.go
+++ b/relay/race.go
@@ -161,10 +161,7 @@
 		run.relay.hedging.observer.CountAt("hedges_cancelled", loser.slot.server.ServerID, 1)
 	}
 	loser.cancel()
-	go func() {
-		loser.close()
-		loser.slot.Release(placement.OutcomeAborted)
-	}()
+	go loser.runClose()
 }
 
 // settleFailed ends a run that failed before the other one ended.
--- a/soak/cold.go
+++ b/soak/cold.go
@@ -46,6 +46,12 @@
 	}
 }
 
+// runRegistration registers the engine until the context ends, and closes registered then.
+func (i *injector) runRegistration(ctx context.Context, target int, registered chan<- struct{}) {
+	defer close(registered)
+	i.registerUntil(ctx, target)
+}
+
 // startCold starts the engine again, cold until the end of the fault. Unless other faults disturb it, it
 // must not get more than coldMost requests in a second.
 func (i *injector) startCold(f fault, e *engine) (end func()) {
@@ -55,10 +61,7 @@
 	e.EndAbove(coldMost, e.proxy.Close)
 	ctx, stop := context.WithCancel(context.Background())
 	registered := make(chan struct{})
-	go func() {
-		defer close(registered)
-		i.registerUntil(ctx, f.target)
-	}()
+	go i.runRegistration(ctx, f.target, registered)
 	time.Sleep(coldOpenDelay)
 	i.reopen(e.proxy)
 	return func() {
