Readiness: a VM that has just started knows the levels of the teams' buckets first

TestEvacuationSurvivesRestart was red twice: a VM that restarted without the store answered 429 once.

Cause: the VM reported ready as soon as it had a configuration. Its buckets are empty then, and what a peer knows of their levels comes later. It could also choose itself as the peer to ask.

--- a/entry/node.go
+++ b/entry/node.go
@@ -237,7 +237,7 @@
 	}
 	version := int64(0)
 	for _, state := range report.VMs {
-		if state.Callers && n.view.claimLevelFetch() {
+		if state.Callers && state.VMID != n.settings.VMID && n.view.claimLevelFetch() {
 			n.peerTasks.Go(func() { n.fetchBucketLevels(state.VMID) })
 		}
 		version = max(version, state.Version)
@@ -361,7 +361,7 @@
 // ready reports whether this VM takes new connections of callers.
 func (n *Node) ready() bool {
 	return !n.view.Leaving() && n.view.Configuration() != nil &&
-		n.mirrors[platform.ServerPrefix].Loaded() && n.mirrors[quarantine.Prefix].Loaded() && n.view.knowsMembers()
+		n.mirrors[platform.ServerPrefix].Loaded() && n.mirrors[quarantine.Prefix].Loaded() && n.view.knowsMembers() && n.view.knowsLevels()
 }
 
 // Run serves until the context ends, then completes the requests in flight within the
--- a/entry/peer_calls.go
+++ b/entry/peer_calls.go
@@ -218,6 +218,7 @@
 // fetchBucketLevels fetches the levels of the teams' token buckets from a peer. It runs
 // once after the start, when this VM does not know of earlier requests.
 func (n *Node) fetchBucketLevels(vmID string) {
+	defer n.view.endLevelFetch()
 	address, ok := n.view.peerAddresses()[vmID]
 	if !ok {
 		return
--- a/entry/view.go
+++ b/entry/view.go
@@ -58,6 +58,8 @@
 	leaving           bool
 	plannedStop       bergamotgrade.PlannedStop
 	levelFetchClaimed bool
+	// levelFetchEnded is set once a peer has told the levels of the teams' buckets, or was asked in vain.
+	levelFetchEnded bool
 	// startDecided is set once it is known whether all VMs have started together.
 	startDecided bool
 	// seenSelf is set once this VM has read its own registration from the store. It then
@@ -381,6 +383,23 @@
 	return v.clock.Now().Sub(v.startedAt) < startupGrace*2
 }
 
+// endLevelFetch records that the fetch that was claimed has ended.
+func (v *view) endLevelFetch() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.levelFetchEnded = true
+}
+
+// knowsLevels reports whether this VM has what it can learn of the levels of the teams' buckets. They start empty, so
+// it would refuse requests within a team's rate before. A VM that hears of no other does not wait longer than startupGrace.
+func (v *view) knowsLevels() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	_, isRegistered := v.members[v.self]
+	isOnly := isRegistered && len(v.members) == 1
+	return v.levelFetchEnded || isOnly || v.clock.Now().Sub(v.startedAt) > startupGrace
+}
+
 // bucketLevels returns the level of each team's token bucket.
 func (v *view) bucketLevels() map[string]float64 {
 	v.mu.Lock()
