--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -59,7 +59,7 @@
 		Identifier: id, Path: route.Prefix + "run", Body: bytes.Repeat([]byte("b"), bodyBytes), Tokens: int64(prompt + output),
 		Headers: map[string]string{
 			"Bergamotgrade-Model": "llm", "Bergamotgrade-Token-Usage": fmt.Sprintf("%d,%d", prompt, output),
-			"Bergamotgrade-Prompt-Prefix": fmt.Sprintf("5c1e07a2:100,%s:%d", id, prompt-100),
+			"Bergamotgrade-Prompt-Prefix": fmt.Sprintf("5c1e07a2:%d,%s:%d", prompt/2, id, prompt-prompt/2),
 		},
 	}
 }
