review: case 11, batch jobs with long paths end all machines

Cause: every VM keeps the heads of all accepted jobs, with their paths, for 180 s, and nothing bounds them. A VM that starts lists them again.

The case: 7,000 jobs of one item on one key, with paths of 15,000 bytes, which is within headerBytes; the platform ends a process above its memory and starts it again.

--- a/review/rig3/case11/main.go
+++ b/review/rig3/case11/main.go
@@ -1,11 +1,12 @@
-// Command case11 shows that a batch job is not completed after its owner was killed if its stored results
-// exceed the cache of results.
+// Command case11 shows that batch jobs whose paths are long, but within the limit on heads, end all machines, again
+// and again, also after the clients have left and the jobs are done.
 package main
 
 import (
 	"fmt"
 	"os"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,12 +14,17 @@
 )
 
 const (
-	items      = 200
-	events     = 378
-	eventBytes = 360
-	// killAt is the number of stored results from which on the owner is killed: more than 24 MiB of text.
-	killAt = 187
-	jobID  = "7c41e09b52d6a3f8"
+	events     = 100
+	eventBytes = 60
+	jobs       = 7000
+	// pathBytes is the length of the path under the route's prefix; headerBytes of the configuration is 16,384.
+	pathBytes = 15000
+	clients   = 12
+	perSecond = 130
+	// lookOn is how long the machines are watched after the clients have left.
+	lookOn = 25 * time.Second
+	// maxEnds is the number of ends of a machine's process that the rule names.
+	maxEnds = 3
 )
 
 func main() { os.Exit(run()) }
@@ -35,20 +41,15 @@
 		fmt.Println(err)
 		return rig3.Unready
 	}
-	var replicas []*rig3.Replica
-	for n := range 4 {
-		replica, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: 8, Queue: 24, Events: events, EventBytes: eventBytes, EventTime: 3 * time.Millisecond})
-		if err != nil {
+	for n := range 9 {
+		if _, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: 8, Queue: 24, Events: events, EventBytes: eventBytes, EventTime: 5 * time.Millisecond, Burst: 10}); err != nil {
 			fmt.Println(err)
 			return rig3.Unready
 		}
-		replicas = append(replicas, replica)
 	}
-	var fronts, disks []*rig3.VM
-	var stored, lastWriter atomic.Int64
-	reached := make(chan int, 1)
+	var fronts, all []*rig3.VM
 	for n := range 4 {
-		server, address, err := rig.NewStoreServer()
+		_, address, err := rig.NewStoreServer()
 		if err != nil {
 			fmt.Println(err)
 			return rig3.Unready
@@ -56,26 +57,6 @@
 		role, memory := "entry", 284
 		if n >= 2 {
 			role, memory = "disk", 304
-			server.OnCommit = func(keys []string) {
-				added := int64(0)
-				for _, key := range keys {
-					if strings.HasPrefix(key, "job/result/") {
-						added++
-					}
-				}
-				if added == 0 {
-					return
-				}
-				lastWriter.Store(int64(n))
-				total := stored.Add(added)
-				rig.Log("store: %d results stored, %d in all", added, total)
-				if total >= killAt && total < items {
-					select {
-					case reached <- n:
-					default:
-					}
-				}
-			}
 		}
 		vm, err := rig.AddVM(n, role, "nizwa-a", memory, address)
 		if err != nil {
@@ -84,101 +65,71 @@
 		}
 		if role == "entry" {
 			fronts = append(fronts, vm)
-		} else {
-			disks = append(disks, vm)
 		}
+		all = append(all, vm)
 	}
-	defer func() {
-		if folder := os.Getenv("KEEP_LOGS"); folder != "" {
-			for _, vm := range append(fronts, disks...) {
-				vm.KeepLog(folder + "/" + vm.Settings.VMID + ".log")
-			}
-		}
-	}()
 	if err := rig.AwaitReady(20 * time.Second); err != nil {
 		fmt.Println(err)
 		return rig3.Unready
 	}
 	time.Sleep(2 * time.Second)
-
-	var list []rig3.Item
-	for n := range items {
-		list = append(list, rig3.NewItem(route, fmt.Sprintf("e5b2907c%08d", n), 1500, 350, 2268))
+	stop := make(chan struct{})
+	defer close(stop)
+	var watches []*rig3.Watch
+	for _, vm := range all {
+		watches = append(watches, rig.WatchMemory(vm, stop))
 	}
-	if status := rig.Submit(route, jobID, list, fronts...); status != 202 {
-		rig.Say("the job was not accepted: %d", status)
-		return rig3.Unready
+	path := ""
+	if rig3.Trouble() {
+		path = strings.Repeat("x", pathBytes) + "/"
 	}
-	submittedAt := time.Now()
-
-	// The client reads on, about twice a second, at both machines.
-	texts := map[string]bool{}
-	position := 0
-	killed := false
-	var killedAt time.Time
-	checkAt := submittedAt.Add(36 * time.Second) // due in 18 s, and finishS of 18 s
-	for try := 0; time.Now().Before(checkAt) && position < items; try++ {
-		select {
-		case n := <-reached:
-			if rig3.Trouble() {
-				rig.Say("%d results are stored; machine %s, which has just written to the store under a condition, is killed", stored.Load(), disks[n-2].Settings.VMID)
-				disks[n-2].Kill()
-				killed, killedAt = true, time.Now()
-				go func() {
-					time.Sleep(time.Second)
-					if err := disks[n-2].Start(); err != nil {
-						rig.Say("cannot start again: %v", err)
-					}
-				}()
-			}
-		default:
-		}
-		results, status, err := rig.Read(fronts[try%2], route, jobID, position, time.Second)
-		if err != nil || status != 200 {
-			time.Sleep(300 * time.Millisecond)
-			continue
-		}
-		for _, result := range results.Results {
-			if result.State != "done" || result.Text != rig3.Text(result.Identifier, events, eventBytes) || texts[result.Identifier] {
-				rig.Say("the result of %s is %s with %d bytes", result.Identifier, result.State, len(result.Text))
-				return rig3.Broken
+	began := time.Now()
+	var group sync.WaitGroup
+	var next, accepted atomic.Int64
+	for client := range clients {
+		group.Go(func() {
+			for limit := began.Add(60 * time.Second); time.Now().Before(limit); {
+				n := int(next.Add(1))
+				if n > jobs {
+					return
+				}
+				time.Sleep(time.Until(began.Add(time.Duration(n) * time.Second / perSecond)))
+				id := fmt.Sprintf("f6%014d", n)
+				list := []rig3.Item{rig3.NewItem(route, id+"-0", 100, 3, 2)}
+				if rig.SubmitAt(route, path+id, id, list, fronts[client%2], fronts[(client+1)%2]) == 202 {
+					accepted.Add(1)
+				}
 			}
-			texts[result.Identifier] = true
-		}
-		position = results.Next
-		if len(results.Results) == 0 {
-			time.Sleep(100 * time.Millisecond)
-		}
+		})
 	}
-	if rig3.Trouble() && !killed {
-		rig.Say("the owner was not killed in time: %d results", stored.Load())
-		return rig3.Unready
-	}
-	rig.Say("%d of %d items are listed %.1f s after the submission", position, items, time.Since(submittedAt).Seconds())
-	if killed {
-		rig.Say("the machine was killed %.1f s ago and started again 1 s later", time.Since(killedAt).Seconds())
-	}
-	for _, front := range fronts {
-		_, status, err := rig.Read(front, route, jobID, 0, 0)
-		rig.Say("for information: a read from the start at %s: %d %v", front.Settings.VMID, status, err)
+	group.Wait()
+	rig.Say("%d jobs of one item are accepted in %.0f s; the clients have left", accepted.Load(), time.Since(began).Seconds())
+	before := make([]int64, len(watches))
+	for n, watch := range watches {
+		before[n] = watch.Ended.Load()
 	}
-	if position == items {
-		return rig3.Held
-	}
-	busy, load, ended := 0, 0, false
-	for _, replica := range replicas {
-		load += replica.Load()
-		ended = ended || time.Since(replica.LastEnd()) < 3*time.Second
-		for _, item := range list {
-			if !texts[item.Identifier] && replica.BusyWith(item.Identifier, time.Now().Add(-5*time.Second)) {
-				busy++
+	answered, reads := 0, 0
+	for limit := time.Now().Add(lookOn); time.Now().Before(limit); time.Sleep(500 * time.Millisecond) {
+		for _, front := range fronts {
+			reads++
+			if _, status, err := rig.Read(front, route, "f600000000000001", 0, 0); err == nil && status == 200 {
+				answered++
 			}
 		}
 	}
-	rig.Say("unlisted items at replicas in the last 5 s: %d; requests that run: %d; a run was completed in the last 3 s: %t", busy, load, ended)
-	if busy == 0 && !ended && load == 0 {
-		rig.Say("LOST: %d items are neither listed as done nor as abandoned", items-position)
+	rig.Say("for information: %d of %d reads of the first job by an ordinary client were answered afterwards", answered, reads)
+	broken := 0
+	for n, watch := range watches {
+		later := watch.Ended.Load() - before[n]
+		rig.Say("%s: at most %d MiB of %d; ended %d times by the platform because of its memory while the clients came, %d times in %s afterwards",
+			watch.VM.Settings.VMID, watch.Peak.Load(), watch.VM.Settings.MemoryMB, before[n], later, lookOn)
+		if before[n]+later >= maxEnds {
+			broken++
+		}
+	}
+	if broken >= 2 {
+		rig.Say("Fault: on %d of %d machines, processes ended by themselves three times", broken, len(watches))
 		return rig3.Broken
 	}
-	return rig3.Unready
+	return rig3.Held
 }
--- a/review/rig3/case15/main.go
+++ b/review/rig3/case15/main.go
@@ -1,12 +1,9 @@
-// Command case15 shows that batch jobs of legal size whose items have many small headers end the machines that
-// hold them, again and again, also after the clients have left.
+// Command case15 shows that batch jobs do not run on replicas with one slot, although these are idle.
 package main
 
 import (
 	"fmt"
 	"os"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/bergamotgrade/bergamotgrade/review/rig3"
@@ -15,34 +12,13 @@
 const (
 	events     = 100
 	eventBytes = 60
-	jobs       = 660
-	jobItems   = 200
-	// itemHeaders is the number of headers of an item; the system accepts 100.
-	itemHeaders = 57
-	clients     = 8
-	// lookOn is how long the machines are watched after the clients have left.
-	lookOn = 30 * time.Second
-	// maxEnds is the number of ends of a machine's process that the rule names.
-	maxEnds = 3
+	jobItems   = 10
+	jobID      = "7c41e09b52d6a3f8"
+	finish     = 18 * time.Second
 )
 
 func main() { os.Exit(run()) }
 
-// names are names of headers, the shortest ones.
-func names() []string {
-	const letters = "abcdefghijklmnopqrstuvwxyz0123456789"
-	var list []string
-	for _, letter := range letters {
-		list = append(list, string(letter))
-	}
-	for _, first := range letters {
-		for _, second := range letters {
-			list = append(list, string(first)+string(second))
-		}
-	}
-	return list
-}
-
 func run() int {
 	rig, err := rig3.New(os.Args[1])
 	if err != nil {
@@ -55,13 +31,20 @@
 		fmt.Println(err)
 		return rig3.Unready
 	}
-	for n := range 9 {
-		if _, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: 8, Queue: 24, Events: events, EventBytes: eventBytes, EventTime: 5 * time.Millisecond, Burst: 10}); err != nil {
+	var replicas []*rig3.Replica
+	for n := range 6 {
+		slots, queue := 1, 3
+		if n == 0 {
+			slots, queue = 8, 24
+		}
+		replica, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: slots, Queue: queue, Events: events, EventBytes: eventBytes, EventTime: 3 * time.Millisecond})
+		if err != nil {
 			fmt.Println(err)
 			return rig3.Unready
 		}
+		replicas = append(replicas, replica)
 	}
-	var fronts, all []*rig3.VM
+	var fronts []*rig3.VM
 	for n := range 4 {
 		_, address, err := rig.NewStoreServer()
 		if err != nil {
@@ -80,68 +63,49 @@
 		if role == "entry" {
 			fronts = append(fronts, vm)
 		}
-		all = append(all, vm)
 	}
 	if err := rig.AwaitReady(20 * time.Second); err != nil {
 		fmt.Println(err)
 		return rig3.Unready
 	}
 	time.Sleep(2 * time.Second)
-	stop := make(chan struct{})
-	defer close(stop)
-	var watches []*rig3.Watch
-	for _, vm := range all {
-		watches = append(watches, rig.WatchMemory(vm, stop))
+	if rig3.Trouble() {
+		replicas[0].Crash()
 	}
-	var group sync.WaitGroup
-	var next, accepted atomic.Int64
-	for client := range clients {
-		group.Go(func() {
-			for limit := time.Now().Add(45 * time.Second); time.Now().Before(limit); {
-				n := int(next.Add(1))
-				if n > jobs {
-					return
-				}
-				id := fmt.Sprintf("d4%014d", n)
-				var list []rig3.Item
-				for k := range jobItems {
-					item := rig3.NewItem(route, fmt.Sprintf("%03d", k), 1500, 3, 2)
-					if rig3.Trouble() {
-						for _, name := range names()[:itemHeaders-len(item.Headers)] {
-							item.Headers[name] = ""
-						}
-						item.Body = item.Body[:1000]
-						if n%3 != 0 {
-							item.Body = nil
-						}
-					}
-					list = append(list, item)
-				}
-				if rig.Submit(route, id, list, fronts[client%2], fronts[(client+1)%2]) == 202 {
-					accepted.Add(1)
-				}
-			}
-		})
+	var list []rig3.Item
+	for n := range jobItems {
+		list = append(list, rig3.NewItem(route, fmt.Sprintf("e5b2907c%08d", n), 1500, 350, 600))
+	}
+	if status := rig.Submit(route, jobID, list, fronts...); status != 202 {
+		rig.Say("the job was not accepted: %d", status)
+		return rig3.Unready
 	}
-	group.Wait()
-	rig.Say("%d jobs of %d items are accepted; the clients have left", accepted.Load(), jobItems)
-	before := make([]int64, len(watches))
-	for n, watch := range watches {
-		before[n] = watch.Ended.Load()
+	endedAt, position := time.Now(), 0
+	for try := 0; time.Since(endedAt) < finish+3*time.Second && position < jobItems; try++ {
+		if results, status, err := rig.Read(fronts[try%2], route, jobID, position, 0); err == nil && status == 200 {
+			position = results.Next
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	rig.Say("%.1f s after the end of the traffic, %d of %d items are listed", time.Since(endedAt).Seconds(), position, jobItems)
+	if position == jobItems {
+		return rig3.Held
 	}
-	time.Sleep(lookOn)
-	broken := 0
-	for n, watch := range watches {
-		later := watch.Ended.Load() - before[n]
-		rig.Say("%s: at most %d MiB of %d; ended %d times by the platform because of its memory while the clients came, %d times in %s afterwards",
-			watch.VM.Settings.VMID, watch.Peak.Load(), watch.VM.Settings.MemoryMB, before[n], later, lookOn)
-		if before[n]+later >= maxEnds {
-			broken++
+	runs, busy, load, ended := 0, 0, 0, false
+	for _, replica := range replicas {
+		load += replica.Load()
+		ended = ended || time.Since(replica.LastEnd()) < 3*time.Second
+		for _, item := range list {
+			runs += replica.Runs(item.Identifier)
+			if replica.BusyWith(item.Identifier, time.Now().Add(-5*time.Second)) {
+				busy++
+			}
 		}
 	}
-	if broken >= 2 {
-		rig.Say("Fault: on %d of %d machines, processes ended by themselves three times", broken, len(watches))
+	rig.Say("replicas ran items %d times in all, had %d of them in the last 5 s, run %d now; a run was completed in the last 3 s: %t", runs, busy, load, ended)
+	if busy == 0 && load == 0 && !ended {
+		rig.Say("LOST: %d items are neither listed as done nor as abandoned", jobItems-position)
 		return rig3.Broken
 	}
-	return rig3.Held
+	return rig3.Unready
 }
--- a/review/rig3/client.go
+++ b/review/rig3/client.go
@@ -101,12 +101,17 @@
 
 // Submit submits a job at one VM after the other until it is accepted, as a client does, and returns the last status.
 func (r *Rig) Submit(route Route, id string, items []Item, vms ...*VM) int {
+	return r.SubmitAt(route, id, id, items, vms...)
+}
+
+// SubmitAt is like Submit, with a path under the route's prefix.
+func (r *Rig) SubmitAt(route Route, path, id string, items []Item, vms ...*VM) int {
 	body, _ := json.Marshal(map[string]any{"items": items})
 	status := 0
 	for try := range 6 {
 		vm := vms[try%len(vms)]
 		var err error
-		status, _, err = r.call(vm, route, http.MethodPost, route.Prefix+id, map[string]string{"Content-Type": "application/json", "Bergamotgrade-Attempt-Id": id, "Bergamotgrade-Deadline-Remaining": "4000"}, body, 4*time.Second)
+		status, _, err = r.call(vm, route, http.MethodPost, route.Prefix+path, map[string]string{"Content-Type": "application/json", "Bergamotgrade-Attempt-Id": id, "Bergamotgrade-Deadline-Remaining": "4000"}, body, 4*time.Second)
 		r.Log("job %s of %d items, %d bytes, submitted at %s: %d %v", id, len(items), len(body), vm.Settings.VMID, status, err)
 		if status == http.StatusAccepted {
 			return status
