--- a/review/rig3/case12/main.go
+++ b/review/rig3/case12/main.go
@@ -105,7 +105,7 @@
 				id := fmt.Sprintf("d4%014d", n)
 				var list []rig3.Item
 				for k := range jobItems {
-					item := rig3.NewItem(route, fmt.Sprintf("%03d", k), 1500, 3, 2)
+					item := rig3.NewItem(route, fmt.Sprintf("%x", n*jobItems+k), 1500, 3, 2)
 					if rig3.Trouble() {
 						for _, name := range names()[:itemHeaders-len(item.Headers)] {
 							item.Headers[name] = ""
--- a/review/rig3/rig.go
+++ b/review/rig3/rig.go
@@ -38,8 +38,8 @@
 	lines     int
 }
 
-// maxLines bounds the record.
-const maxLines = 20000
+// maxLines bounds the lines of the record that only tell of single requests.
+const maxLines = 10000
 
 // New returns a rig that writes what happens to the file.
 func New(recordPath string) (*Rig, error) {
@@ -62,13 +62,20 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.lines++; r.lines <= maxLines {
-		fmt.Fprintf(r.record, "%7.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+		r.write(format, args...)
 	}
 }
 
-// Say writes a line to the record and to standard output.
+// write writes a line to the record. The caller holds the lock.
+func (r *Rig) write(format string, args ...any) {
+	fmt.Fprintf(r.record, "%7.3f %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+// Say writes a line to the record, in any case, and to standard output.
 func (r *Rig) Say(format string, args ...any) {
-	r.Log(format, args...)
+	r.mu.Lock()
+	r.write(format, args...)
+	r.mu.Unlock()
 	fmt.Printf(format+"\n", args...)
 }
 
