--- a/review/rig3/case14/main.go
+++ b/review/rig3/case14/main.go
@@ -1,11 +1,11 @@
-// Command case14 shows that clients which ask for results and do not read the answers take the machines over
-// their memory.
+// Command case14 shows that a batch job is not completed after its owner was killed if its stored results
+// exceed the cache of results.
 package main
 
 import (
 	"fmt"
 	"os"
-	"sync"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -13,18 +13,12 @@
 )
 
 const (
+	items      = 200
 	events     = 378
 	eventBytes = 360
-	jobItems   = 20
-	jobID      = "7c41e09b52d6a3f8"
-	// crowd is the number of connections to each machine; half of its descriptors are for clients, 1,950.
-	crowd = 600
-	// hold is how long a client keeps its connection open, rounds is how often it comes.
-	hold          = 6 * time.Second
-	rounds        = 8
-	frontMemoryMB = 284
-	// maxEnds is the number of ends of a machine's process that the rule names.
-	maxEnds = 3
+	// killAt is the number of stored results from which on the owner is killed: more than 24 MiB of text.
+	killAt = 187
+	jobID  = "7c41e09b52d6a3f8"
 )
 
 func main() { os.Exit(run()) }
@@ -41,22 +35,47 @@
 		fmt.Println(err)
 		return rig3.Unready
 	}
+	var replicas []*rig3.Replica
 	for n := range 4 {
-		if _, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: 8, Queue: 24, Events: events, EventBytes: eventBytes, EventTime: 2 * time.Millisecond}); err != nil {
+		replica, err := rig.AddReplica(rig3.ReplicaConfig{ID: fmt.Sprintf("i-7f3a91c%d", n), Service: route.Service, Zone: "nizwa-a", Slots: 8, Queue: 24, Events: events, EventBytes: eventBytes, EventTime: 3 * time.Millisecond})
+		if err != nil {
 			fmt.Println(err)
 			return rig3.Unready
 		}
+		replicas = append(replicas, replica)
 	}
-	var fronts []*rig3.VM
+	var fronts, disks []*rig3.VM
+	var stored, lastWriter atomic.Int64
+	reached := make(chan int, 1)
 	for n := range 4 {
-		_, address, err := rig.NewStoreServer()
+		server, address, err := rig.NewStoreServer()
 		if err != nil {
 			fmt.Println(err)
 			return rig3.Unready
 		}
-		role, memory := "entry", frontMemoryMB
+		role, memory := "entry", 284
 		if n >= 2 {
 			role, memory = "disk", 304
+			server.OnCommit = func(keys []string) {
+				added := int64(0)
+				for _, key := range keys {
+					if strings.HasPrefix(key, "job/result/") {
+						added++
+					}
+				}
+				if added == 0 {
+					return
+				}
+				lastWriter.Store(int64(n))
+				total := stored.Add(added)
+				rig.Log("store: %d results stored, %d in all", added, total)
+				if total >= killAt && total < items {
+					select {
+					case reached <- n:
+					default:
+					}
+				}
+			}
 		}
 		vm, err := rig.AddVM(n, role, "nizwa-a", memory, address)
 		if err != nil {
@@ -65,90 +84,101 @@
 		}
 		if role == "entry" {
 			fronts = append(fronts, vm)
+		} else {
+			disks = append(disks, vm)
 		}
 	}
+	defer func() {
+		if folder := os.Getenv("KEEP_LOGS"); folder != "" {
+			for _, vm := range append(fronts, disks...) {
+				vm.KeepLog(folder + "/" + vm.Settings.VMID + ".log")
+			}
+		}
+	}()
 	if err := rig.AwaitReady(20 * time.Second); err != nil {
 		fmt.Println(err)
 		return rig3.Unready
 	}
 	time.Sleep(2 * time.Second)
+
 	var list []rig3.Item
-	for n := range jobItems {
+	for n := range items {
 		list = append(list, rig3.NewItem(route, fmt.Sprintf("e5b2907c%08d", n), 1500, 350, 2268))
 	}
 	if status := rig.Submit(route, jobID, list, fronts...); status != 202 {
 		rig.Say("the job was not accepted: %d", status)
 		return rig3.Unready
 	}
+	submittedAt := time.Now()
+
+	// The client reads on, about twice a second, at both machines.
+	texts := map[string]bool{}
 	position := 0
-	for limit := time.Now().Add(20 * time.Second); position < jobItems; time.Sleep(200 * time.Millisecond) {
-		if results, status, err := rig.Read(fronts[0], route, jobID, position, 0); err == nil && status == 200 {
-			position = results.Next
+	killed := false
+	var killedAt time.Time
+	checkAt := submittedAt.Add(36 * time.Second) // due in 18 s, and finishS of 18 s
+	for try := 0; time.Now().Before(checkAt) && position < items; try++ {
+		select {
+		case n := <-reached:
+			if rig3.Trouble() {
+				rig.Say("%d results are stored; machine %s, which has just written to the store under a condition, is killed", stored.Load(), disks[n-2].Settings.VMID)
+				disks[n-2].Kill()
+				killed, killedAt = true, time.Now()
+				go func() {
+					time.Sleep(time.Second)
+					if err := disks[n-2].Start(); err != nil {
+						rig.Say("cannot start again: %v", err)
+					}
+				}()
+			}
+		default:
 		}
-		if time.Now().After(limit) {
-			rig.Say("the job is not done")
-			return rig3.Unready
+		results, status, err := rig.Read(fronts[try%2], route, jobID, position, time.Second)
+		if err != nil || status != 200 {
+			time.Sleep(300 * time.Millisecond)
+			continue
+		}
+		for _, result := range results.Results {
+			if result.State != "done" || result.Text != rig3.Text(result.Identifier, events, eventBytes) || texts[result.Identifier] {
+				rig.Say("the result of %s is %s with %d bytes", result.Identifier, result.State, len(result.Text))
+				return rig3.Broken
+			}
+			texts[result.Identifier] = true
+		}
+		position = results.Next
+		if len(results.Results) == 0 {
+			time.Sleep(100 * time.Millisecond)
 		}
 	}
-	rig.Say("a job of %d items with %d bytes of text each is done", jobItems, events*(eventBytes+1))
-
-	var ended, peak [2]atomic.Int64
-	stop := make(chan struct{})
-	var watching sync.WaitGroup
-	for n, front := range fronts {
-		watching.Go(func() { watchMemory(rig, front, &ended[n], &peak[n], stop) })
+	if rig3.Trouble() && !killed {
+		rig.Say("the owner was not killed in time: %d results", stored.Load())
+		return rig3.Unready
 	}
-	var clients sync.WaitGroup
-	var opened, failed atomic.Int64
-	for n := range len(fronts) * crowd {
-		clients.Go(func() {
-			// The clients come one after the other, a hundred a second at each machine.
-			time.Sleep(hold * time.Duration(n) / time.Duration(len(fronts)*crowd))
-			for range rounds {
-				began := time.Now()
-				opened.Add(1)
-				if err := rig.SlowRead(fronts[n%len(fronts)], route, jobID, !rig3.Trouble(), hold); err != nil {
-					failed.Add(1)
-				}
-				time.Sleep(time.Until(began.Add(hold)))
-				if ended[0].Load() >= maxEnds && ended[1].Load() >= maxEnds {
-					return
-				}
-			}
-		})
+	rig.Say("%d of %d items are listed %.1f s after the submission", position, items, time.Since(submittedAt).Seconds())
+	if killed {
+		rig.Say("the machine was killed %.1f s ago and started again 1 s later", time.Since(killedAt).Seconds())
 	}
-	clients.Wait()
-	close(stop)
-	watching.Wait()
-	rig.Say("%d connections for results, %d of them failed", opened.Load(), failed.Load())
-	for n, front := range fronts {
-		rig.Say("%s: at most %d MiB of %d, ended %d times by the platform because of its memory", front.Settings.VMID, peak[n].Load(), frontMemoryMB, ended[n].Load())
+	for _, front := range fronts {
+		_, status, err := rig.Read(front, route, jobID, 0, 0)
+		rig.Say("for information: a read from the start at %s: %d %v", front.Settings.VMID, status, err)
 	}
-	if ended[0].Load() >= maxEnds && ended[1].Load() >= maxEnds {
-		rig.Say("Fault: on two of four machines, processes ended by themselves three times")
-		return rig3.Broken
+	if position == items {
+		return rig3.Held
 	}
-	return rig3.Held
-}
-
-// watchMemory ends a process that uses more than its memory, and starts it again, as the platform does.
-func watchMemory(rig *rig3.Rig, vm *rig3.VM, ended, peak *atomic.Int64, stop <-chan struct{}) {
-	for {
-		select {
-		case <-stop:
-			return
-		case <-time.After(5 * time.Millisecond):
-		}
-		resident := vm.ResidentMB()
-		peak.Store(max(peak.Load(), int64(resident)))
-		if resident > frontMemoryMB {
-			rig.Say("%s uses %d MiB of %d and is killed", vm.Settings.VMID, resident, frontMemoryMB)
-			ended.Add(1)
-			vm.Kill()
-			time.Sleep(500 * time.Millisecond)
-			if err := vm.Start(); err != nil {
-				rig.Say("cannot start again: %v", err)
+	busy, load, ended := 0, 0, false
+	for _, replica := range replicas {
+		load += replica.Load()
+		ended = ended || time.Since(replica.LastEnd()) < 3*time.Second
+		for _, item := range list {
+			if !texts[item.Identifier] && replica.BusyWith(item.Identifier, time.Now().Add(-5*time.Second)) {
+				busy++
 			}
 		}
 	}
+	rig.Say("unlisted items at replicas in the last 5 s: %d; requests that run: %d; a run was completed in the last 3 s: %t", busy, load, ended)
+	if busy == 0 && !ended && load == 0 {
+		rig.Say("LOST: %d items are neither listed as done nor as abandoned", items-position)
+		return rig3.Broken
+	}
+	return rig3.Unready
 }
--- a/review/rig3/replica.go
+++ b/review/rig3/replica.go
@@ -19,15 +19,12 @@
 	ID, Service, Zone string
 	// Slots is the number of requests that run at once, Queue the number that wait.
 	Slots, Queue int
-	// Events is the number of events of an answer, EventBytes the bytes of the data of one.
+	// Events is the number of events of an answer, or 0 for one for each output token; EventBytes is the bytes of the
+	// data of one.
 	Events, EventBytes int
 	// EventTime is the time for one event; Burst is the number of events that are sent together, 0 for one.
 	EventTime time.Duration
 	Burst     int
-	// Limit is the requests a second that the answers name as the limit of the replica; empty for none.
-	Limit string
-	// LosesEvery selects the runs whose answers are lost: every nth; 0 for none.
-	LosesEvery int
 }
 
 // Replica is a sound model replica.
@@ -45,7 +42,6 @@
 	lastBusy map[string]time.Time
 	// lastEndAt is when a run was last completed.
 	lastEndAt time.Time
-	begun     int
 }
 
 // AddReplica starts a replica and registers it.
@@ -101,9 +97,6 @@
 	header := w.Header()
 	header.Set("Bergamotgrade-Attempt-Id", id)
 	header.Set("Bergamotgrade-Instance-Id", e.ID)
-	if e.Limit != "" {
-		header.Set("Server-Limit", e.Limit)
-	}
 	if expected := req.Header.Get("Bergamotgrade-Expect-Instance"); expected != "" && expected != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
@@ -141,16 +134,15 @@
 	e.mark(id, 1)
 	defer e.mark(id, -1)
 	e.rig.Log("replica %s runs %s after event %d, path %s, tenant %s", e.ID, id, from, req.URL.Path, req.Header.Get("Bergamotgrade-Tenant"))
-	if e.losesNext() {
-		time.Sleep(time.Duration(e.Events) * e.EventTime)
-		e.rig.Say("replica %s has run %s, and its answer is lost", e.ID, id)
-		panic(http.ErrAbortHandler)
-	}
 	header.Set("Bergamotgrade-Server-Seal", "seal-"+id)
 	header.Set("Content-Type", "text/event-stream")
 	control := http.NewResponseController(w)
-	burst := max(1, e.Burst)
-	for n := from + 1; n <= e.Events; n++ {
+	burst, events := max(1, e.Burst), e.Events
+	if events == 0 {
+		_, output, _ := strings.Cut(req.Header.Get("Bergamotgrade-Token-Usage"), ",")
+		events, _ = strconv.Atoi(output)
+	}
+	for n := from + 1; n <= events; n++ {
 		if n%burst == 0 {
 			_ = control.Flush()
 			select {
@@ -168,14 +160,6 @@
 	e.mu.Unlock()
 }
 
-// losesNext counts a run and reports whether its answer is lost.
-func (e *Replica) losesNext() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	e.begun++
-	return e.LosesEvery > 0 && e.begun%e.LosesEvery == 0
-}
-
 func (e *Replica) mark(id string, change int) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
