--- a/review/rig3/case11/main.go
+++ b/review/rig3/case11/main.go
@@ -1,5 +1,5 @@
 // Command case11 shows that batch jobs whose paths are long, but within the limit on heads, end all machines, again
-// and again, also after the clients have left and the jobs are done.
+// and again, also after the clients have left.
 package main
 
 import (
